dispatch: overdue requests tell of a lost path before their deadlines

Servers whose answers to one instance were lost kept all slots busy with bookings until their callers left, and the next request took the same instance. A request that ended since its caller left taught nothing.

Change: a request that runs for four times the mean of its route is overdue. It makes the server suspect, does not count for its slots, and if the server has answered nothing since, the next request is sent by another instance.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,6 +100,8 @@
 	repeatable  bool
 	// adopted permits stand for requests that ran before this coordinator.
 	adopted bool
+	// overdue requests have run for so long that no answer is expected.
+	overdue bool
 }
 
 // waiting is an ask in a queue.
@@ -132,6 +134,7 @@
 	share float64
 	// began is when this coordinator began.
 	began       time.Time
+	checkedAt   time.Time
 	transitions []Transition
 	out         []Decision
 }
@@ -293,7 +296,7 @@
 			d.refuseHopeless(now, name)
 		}
 	}
-	d.expirePermits(now)
+	d.checkPermits(now)
 	return d.flush()
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -175,11 +175,16 @@
 	d.permits[pm.number] = pm
 	out := &Permit{Number: pm.number, Server: s.Server, Service: w.Service, Via: pm.via}
 	if pm.repeatable && !w.Repeat && w.route.MaxAttempts > 1 {
-		out.Stall = max(stallMin, stallFactor*d.stats(w.Route).mean)
+		out.Stall = d.stallTime(w.Route)
 	}
 	d.out = append(d.out, Decision{Member: w.Member, Ask: w.Number, Permit: out})
 }
 
+// stallTime is the time after which a request of a route counts as stalled.
+func (d *Dispatcher) stallTime(route string) time.Duration {
+	return max(stallMin, stallFactor*d.stats(route).mean)
+}
+
 // add puts a server into the pool in place of an earlier one with its ID.
 func (p *pool) add(s *server) {
 	at, found := p.find(s.ID)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -55,6 +55,9 @@
 		return pm
 	}
 	s.running = max(0, s.running-1)
+	if pm.overdue {
+		s.overdue = max(0, s.overdue-1)
+	}
 	d.learn(now, s, pm, o, took)
 	return pm
 }
@@ -65,8 +68,9 @@
 	switch o {
 	case Served:
 		s.observe(now, p.prior, false)
-		s.downPause = 0
+		s.downPause, s.lastServed = 0, now
 		delete(s.lostPath, pm.via)
+		delete(s.mutePath, pm.via)
 		d.suspects.answered(pm.fingerprint)
 		p.mean += time.Duration(meanWeight * float64(took-p.mean))
 		d.stats(pm.route).served(took, pm.bytes)
@@ -79,8 +83,9 @@
 		s.observe(now, p.prior, true)
 		d.suspects.dropped(now, pm.fingerprint)
 	case Stalled:
-		s.lastFailed = now
-		s.observe(now, p.prior, true)
+		if !pm.overdue {
+			d.unanswered(now, s, pm)
+		}
 	case Unreachable:
 		d.unreachable(now, s, pm.via)
 	case Shed:
@@ -113,12 +118,73 @@
 	s.pausedUntil = later(s.pausedUntil, now.Add(s.downPause))
 	s.coldUntil = later(s.coldUntil, now.Add(s.downPause+d.index.Config.Services[s.Service].ColdStart))
 	clear(s.lostPath)
+	clear(s.mutePath)
 }
 
-func (d *Dispatcher) expirePermits(now time.Time) {
+const (
+	// permitInterval is how often the running requests are looked at.
+	permitInterval = 100 * time.Millisecond
+	// mutePathMemory is how long an instance to which a server did not answer
+	// is not asked to send to it. Each return to a path that is still lost
+	// costs a request.
+	mutePathMemory = 10 * time.Second
+	// pathDoubt is the probability of failure that is left to a server that
+	// did not answer on one path: the path is as likely the cause.
+	pathDoubt = 0.5
+)
+
+// checkPermits learns from requests that should have been answered by now, and
+// forgets those that nobody reports. A request that cannot be tried again keeps
+// its caller waiting until its deadline, which is too late to learn from.
+func (d *Dispatcher) checkPermits(now time.Time) {
+	if now.Sub(d.checkedAt) < permitInterval {
+		return
+	}
+	d.checkedAt = now
 	for n, pm := range d.permits {
-		if now.Sub(pm.at) > permitExpiry {
+		age := now.Sub(pm.at)
+		if age > permitExpiry {
 			d.finish(now, n, Cancelled, 0)
+			continue
+		}
+		s := d.servers[pm.server]
+		if s == nil || pm.overdue || pm.adopted || age <= d.stallTime(pm.route) {
+			continue
+		}
+		pm.overdue = true
+		s.overdue++
+		d.unanswered(now, s, pm)
+		d.noteTransition(s, Stalled)
+	}
+}
+
+// unanswered notes that a request got no answer in time. If the server answered
+// nothing since it was sent, the path from the sending instance may be lost while
+// others reach the server: it becomes suspect, and the next request takes another
+// path. Requests that were sent on that path before tell nothing more.
+func (d *Dispatcher) unanswered(now time.Time, s *server, pm *permit) {
+	p := d.pool(s.Service)
+	if s.lastServed.Before(pm.at) {
+		known := now.Before(s.mutePath[pm.via])
+		first := !s.hasMutePath(now)
+		if !known {
+			s.mutePath[pm.via] = now.Add(mutePathMemory)
+		}
+		if known || first {
+			s.bad, s.at, s.cachedAt = max(s.badness(now, p.prior), pathDoubt), now, time.Time{}
+			return
+		}
+	}
+	s.lastFailed = now
+	s.observe(now, p.prior, true)
+}
+
+// hasMutePath reports whether the server did not answer to some instance.
+func (s *server) hasMutePath(now time.Time) bool {
+	for _, until := range s.mutePath {
+		if now.Before(until) {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -87,6 +87,8 @@
 	bad     float64
 	at      time.Time
 	running int
+	// overdue is how many of the running requests should have been answered.
+	overdue int
 	// out says that operators have taken the failure domain out.
 	out bool
 	// cached is the belief at the time cachedAt.
@@ -104,8 +106,12 @@
 	coldUntil   time.Time
 	coldTokens  float64
 	coldAt      time.Time
+	// lastServed is when an answer last arrived; zero if never.
+	lastServed time.Time
 	// lostPath holds the instances that could not reach the server.
 	lostPath map[string]time.Time
+	// mutePath holds the instances to which the server did not answer.
+	mutePath map[string]time.Time
 }
 
 // badness returns the probability that the server fails a request now.
@@ -165,7 +171,7 @@
 
 // usable reports whether the server may get a request now, belief aside.
 func (d *Dispatcher) usable(now time.Time, s *server) bool {
-	return !s.Draining && !s.out && s.running < s.Slots &&
+	return !s.Draining && !s.out && s.running-s.overdue < s.Slots &&
 		!now.Before(s.pausedUntil) && d.bears(now, s)
 }
 
@@ -187,9 +193,9 @@
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Born != in.Born || s.Service != in.Service {
-		fresh := &server{Server: in, bad: initialPrior, at: now, coldAt: now, lostPath: make(map[string]time.Time)}
+		fresh := &server{Server: in, bad: initialPrior, at: now, coldAt: now, lostPath: make(map[string]time.Time), mutePath: make(map[string]time.Time)}
 		if s != nil {
-			fresh.running = s.running
+			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
 		}
 		d.servers[in.ID] = fresh
@@ -295,6 +301,11 @@
 	}
 }
 
+// reachedBy reports whether an instance has not lost the path to the server.
+func (s *server) reachedBy(now time.Time, instance string) bool {
+	return !now.Before(s.lostPath[instance]) && !now.Before(s.mutePath[instance])
+}
+
 // via returns the instance that sends to a server: the first of the ranked
 // instances of the server's failure domain that has not lost the path to it.
 // Without one the asking member itself sends, and without its path any other.
@@ -302,7 +313,7 @@
 	if best := d.ranked(now, s, s.Domain); best != "" {
 		return best
 	}
-	if !now.Before(s.lostPath[asker]) {
+	if s.reachedBy(now, asker) {
 		return asker
 	}
 	if best := d.ranked(now, s, ""); best != "" {
@@ -316,7 +327,7 @@
 func (d *Dispatcher) ranked(now time.Time, s *server, domain string) string {
 	best, bestRank := "", 0.0
 	for name, m := range d.members {
-		if domain != "" && m.domain != domain || m.leaving || now.Before(s.lostPath[name]) {
+		if domain != "" && m.domain != domain || m.leaving || !s.reachedBy(now, name) {
 			continue
 		}
 		if r := rendezvous.Weighted(name, s.ID, max(m.capacity, minCapacity)); best == "" || r > bestRank {
