dispatch: a server that is cut off from its sender is tested on another path at once

The three servers without work were cut off from the instance that sends to them; the drops of their overdue requests 1.5 s after the send counted as failures, so no request tested another path.

Change: two overdue requests without an answer since make a path lost, one only a suspect server. The next request tests another path without waiting for the floor, and drops of overdue requests tell nothing more.

Test: TestMutePathIsReplaced now drops an overdue request and asks for the test at once (failed before).

--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -56,8 +56,8 @@
 	return now.Sub(s.lastFailed) >= d.bounds.SteadyAfter
 }
 
-// explores reports whether an ask tests an idle server for the sake of the
-// floor.
+// explores reports whether an ask tests an idle server: for the sake of the
+// floor, or on another path after it did not answer on one.
 func (d *Dispatcher) explores(now time.Time, p *pool, w *waiting, c *candidate) bool {
 	if !c.idle {
 		return false
@@ -66,7 +66,7 @@
 	if w.route.Kind.Repeatable() && !w.Repeat {
 		limit, idleMax = exploreRepeatable, 0
 	}
-	return p.missing > 0 && c.bad < limit ||
+	return c.untested || p.missing > 0 && c.bad < limit ||
 		p.steadyIdle > idleMax && d.steady(now, c.server) && c.bad < d.steadyBelief(p)
 }
 
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -33,17 +33,14 @@
 		f.now = f.now.Add(tickStep)
 		f.d.Tick(f.now)
 	}
+	f.done(hung[0], Dropped)
 	p := f.d.pool("desk")
 	if bad := f.d.servers["s00"].badness(f.now, p.prior); bad < trusted || bad > pathDoubt {
 		t.Errorf("probability of failure %.2f after one mute path, want one of a suspect server that may be sound", bad)
 	}
 	out := f.onlyServer("s00")
-	for n := 0; n < 80 && len(out) == 0; n++ {
-		f.now = f.now.Add(tickStep)
-		out = append(out, f.d.Tick(f.now)...)
-	}
-	if len(out) == 0 || out[0].Permit == nil {
-		t.Fatalf("no permit for the server after its requests are overdue: %+v", out)
+	if len(out) != 1 || out[0].Permit == nil {
+		t.Fatalf("the server is not tested at once on another path: %+v", out)
 	}
 	if out[0].Permit.Via == hung[0].Via {
 		t.Errorf("request sent through %s again, to which the server did not answer", hung[0].Via)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -164,7 +164,7 @@
 func (d *Dispatcher) grant(now time.Time, p *pool, w *waiting, s *server) {
 	d.next++
 	s.running++
-	s.lastUsed = now
+	s.lastUsed, s.untested = now, false
 	if now.Before(s.coldUntil) {
 		s.coldTokens--
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -79,9 +79,11 @@
 		s.observe(now, p.prior, true)
 		d.suspects.answered(pm.fingerprint)
 	case Dropped:
-		s.lastFailed = now
-		s.observe(now, p.prior, true)
 		d.suspects.dropped(now, pm.fingerprint)
+		if !pm.overdue {
+			s.lastFailed = now
+			s.observe(now, p.prior, true)
+		}
 	case Stalled:
 		if !pm.overdue {
 			d.unanswered(now, s, pm)
@@ -128,6 +130,9 @@
 	// is not asked to send to it. Each return to a path that is still lost
 	// costs a request.
 	mutePathMemory = 10 * time.Second
+	// muteRequests is how many overdue requests in a row make a path lost. One
+	// in a hundred requests is overdue since it takes long.
+	muteRequests = 2
 	// pathDoubt is the probability of failure that is left to a server that
 	// did not answer on one path: the path is as likely the cause.
 	pathDoubt = 0.5
@@ -159,30 +164,28 @@
 }
 
 // unanswered notes that a request got no answer in time. If the server answered
-// nothing since it was sent, the path from the sending instance may be lost while
-// others reach the server: it becomes suspect, and the next request takes another
-// path. Requests that were sent on that path before tell nothing more.
+// nothing since it was sent, the request may be a long one, or the path from the
+// sending instance may be lost while others reach the server: it becomes suspect.
+// With a second such request the path is taken for lost, and the next request
+// tests another. Requests that were sent on that path before tell nothing more.
 func (d *Dispatcher) unanswered(now time.Time, s *server, pm *permit) {
 	p := d.pool(s.Service)
-	if s.lastServed.Before(pm.at) {
-		known := now.Before(s.mutePath[pm.via])
-		first := !s.hasMutePath(now)
-		if !known {
-			s.mutePath[pm.via] = now.Add(mutePathMemory)
-		}
-		if known || first {
-			s.bad, s.at, s.cachedAt = max(s.badness(now, p.prior), pathDoubt), now, time.Time{}
-			return
-		}
+	if !s.lastServed.Before(pm.at) || s.hasMutePath(now, pm.via) {
+		s.lastFailed = now
+		s.observe(now, p.prior, true)
+		return
+	}
+	s.bad, s.at, s.cachedAt = max(s.badness(now, p.prior), pathDoubt), now, time.Time{}
+	if s.overdue >= min(muteRequests, s.Slots) && !now.Before(s.mutePath[pm.via]) {
+		s.mutePath[pm.via] = now.Add(mutePathMemory)
+		s.untested = true
 	}
-	s.lastFailed = now
-	s.observe(now, p.prior, true)
 }
 
-// hasMutePath reports whether the server did not answer to some instance.
-func (s *server) hasMutePath(now time.Time) bool {
-	for _, until := range s.mutePath {
-		if now.Before(until) {
+// hasMutePath reports whether the server did not answer to another instance.
+func (s *server) hasMutePath(now time.Time, than string) bool {
+	for name, until := range s.mutePath {
+		if name != than && now.Before(until) {
 			return true
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -112,6 +112,9 @@
 	lostPath map[string]time.Time
 	// mutePath holds the instances to which the server did not answer.
 	mutePath map[string]time.Time
+	// untested says that nothing was sent on another path since the server did
+	// not answer on one.
+	untested bool
 }
 
 // badness returns the probability that the server fails a request now.
