dispatch: paths to servers that do not answer are checked by connections

Change: when none of the requests that run at a server is answered in time, the coordinator asks the instance that sends to it and one of another failure domain to connect to it, and four more if neither can (drpc call Reach). A server that the sender reaches hangs; one that others reach is tested through them at once; one that nobody reaches is down. The connections are kept for the next request.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -109,6 +109,22 @@
 // New returns a client.
 func New() *Client { return &Client{open: make(map[string]int), idle: make(map[string][]*conn)} }
 
+// openKeep is how long a connection that Open made waits for a request. The
+// server has not named its idle time-out yet.
+const openKeep = 3 * time.Second
+
+// Open makes a connection and keeps it for the next request. It returns an error
+// that wraps ErrConnect if the address cannot be reached.
+func (c *Client) Open(ctx context.Context, address string) error {
+	cn, err := c.get(ctx, address, false)
+	if err != nil {
+		return err
+	}
+	cn.keepAlive = openKeep
+	c.put(cn)
+	return nil
+}
+
 // get returns a connection: an idle one if reuse is set, else a new one.
 func (c *Client) get(ctx context.Context, address string, reuse bool) (*conn, error) {
 	for reuse {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -133,10 +133,13 @@
 	// share of the roster that this coordinator is in contact with, 0 to 1.
 	share float64
 	// began is when this coordinator began.
-	began       time.Time
-	checkedAt   time.Time
-	transitions []Transition
-	out         []Decision
+	began time.Time
+	// permitsCheckedAt is when the running requests were last looked at.
+	permitsCheckedAt time.Time
+	transitions      []Transition
+	// checks are the path checks that were not asked for yet.
+	checks []PathCheck
+	out    []Decision
 }
 
 type member struct {
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -57,7 +57,7 @@
 }
 
 // explores reports whether an ask tests an idle server: for the sake of the
-// floor, or on another path after it did not answer on one.
+// floor, or on a path that was checked.
 func (d *Dispatcher) explores(now time.Time, p *pool, w *waiting, c *candidate) bool {
 	if !c.idle {
 		return false
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -70,7 +70,6 @@
 		s.observe(now, p.prior, false)
 		s.downPause, s.lastServed = 0, now
 		delete(s.lostPath, pm.via)
-		delete(s.mutePath, pm.via)
 		d.suspects.answered(pm.fingerprint)
 		p.mean += time.Duration(meanWeight * float64(took-p.mean))
 		d.stats(pm.route).served(took, pm.bytes)
@@ -102,50 +101,17 @@
 	d.noteTransition(s, o)
 }
 
-// unreachable notes that an instance could not connect. A server that a second
-// instance does not reach either is taken for down, and for cold when it
-// comes back.
-func (d *Dispatcher) unreachable(now time.Time, s *server, via string) {
-	others := 0
-	for name, until := range s.lostPath {
-		if name != via && now.Before(until) {
-			others++
-		}
-	}
-	s.lostPath[via] = now.Add(pathMemory)
-	if others == 0 {
-		return
-	}
-	s.downPause = min(max(2*s.downPause, downPause), downPauseMax)
-	s.pausedUntil = later(s.pausedUntil, now.Add(s.downPause))
-	s.coldUntil = later(s.coldUntil, now.Add(s.downPause+d.index.Config.Services[s.Service].ColdStart))
-	clear(s.lostPath)
-	clear(s.mutePath)
-}
-
-const (
-	// permitInterval is how often the running requests are looked at.
-	permitInterval = 100 * time.Millisecond
-	// mutePathMemory is how long an instance to which a server did not answer
-	// is not asked to send to it. Each return to a path that is still lost
-	// costs a request.
-	mutePathMemory = 10 * time.Second
-	// muteRequests is how many overdue requests in a row make a path lost. One
-	// in a hundred requests is overdue since it takes long.
-	muteRequests = 2
-	// pathDoubt is the probability of failure that is left to a server that
-	// did not answer on one path: the path is as likely the cause.
-	pathDoubt = 0.5
-)
+// permitInterval is how often the running requests are looked at.
+const permitInterval = 50 * time.Millisecond
 
 // checkPermits learns from requests that should have been answered by now, and
 // forgets those that nobody reports. A request that cannot be tried again keeps
 // its caller waiting until its deadline, which is too late to learn from.
 func (d *Dispatcher) checkPermits(now time.Time) {
-	if now.Sub(d.checkedAt) < permitInterval {
+	if now.Sub(d.permitsCheckedAt) < permitInterval {
 		return
 	}
-	d.checkedAt = now
+	d.permitsCheckedAt = now
 	for n, pm := range d.permits {
 		age := now.Sub(pm.at)
 		if age > permitExpiry {
@@ -162,32 +128,3 @@
 		d.noteTransition(s, Stalled)
 	}
 }
-
-// unanswered notes that a request got no answer in time. If the server answered
-// nothing since it was sent, the request may be a long one, or the path from the
-// sending instance may be lost while others reach the server: it becomes suspect.
-// With a second such request the path is taken for lost, and the next request
-// tests another. Requests that were sent on that path before tell nothing more.
-func (d *Dispatcher) unanswered(now time.Time, s *server, pm *permit) {
-	p := d.pool(s.Service)
-	if !s.lastServed.Before(pm.at) || s.hasMutePath(now, pm.via) {
-		s.lastFailed = now
-		s.observe(now, p.prior, true)
-		return
-	}
-	s.bad, s.at, s.cachedAt = max(s.badness(now, p.prior), pathDoubt), now, time.Time{}
-	if s.overdue >= min(muteRequests, s.Slots) && !now.Before(s.mutePath[pm.via]) {
-		s.mutePath[pm.via] = now.Add(mutePathMemory)
-		s.untested = true
-	}
-}
-
-// hasMutePath reports whether the server did not answer to another instance.
-func (s *server) hasMutePath(now time.Time, than string) bool {
-	for name, until := range s.mutePath {
-		if name != than && now.Before(until) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
-	"trefoilstream.example/trefoilstream/internal/rendezvous"
 )
 
 // Outcome says how a permitted request ended.
@@ -69,9 +68,6 @@
 
 // Figures of servers that cannot be reached.
 const (
-	// pathMemory is how long an instance that could not reach a server is not
-	// asked to send to it.
-	pathMemory = 5 * time.Second
 	// downPause is the first pause before a server that no instance reached
 	// is tried again; it doubles up to downPauseMax.
 	downPause    = 500 * time.Millisecond
@@ -110,11 +106,14 @@
 	lastServed time.Time
 	// lostPath holds the instances that could not reach the server.
 	lostPath map[string]time.Time
-	// mutePath holds the instances to which the server did not answer.
-	mutePath map[string]time.Time
-	// untested says that nothing was sent on another path since the server did
-	// not answer on one.
-	untested bool
+	// checkedVia is an instance that connected to the server in a path check,
+	// which holds until checkedUntil. Nothing was sent through it yet if the
+	// server is untested.
+	checkedVia   string
+	checkedUntil time.Time
+	untested     bool
+	// pathCheckedAt is when a path check was last asked for.
+	pathCheckedAt time.Time
 }
 
 // badness returns the probability that the server fails a request now.
@@ -196,7 +195,7 @@
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Born != in.Born || s.Service != in.Service {
-		fresh := &server{Server: in, bad: initialPrior, at: now, coldAt: now, lostPath: make(map[string]time.Time), mutePath: make(map[string]time.Time)}
+		fresh := &server{Server: in, bad: initialPrior, at: now, coldAt: now, lostPath: make(map[string]time.Time)}
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
@@ -303,42 +302,3 @@
 		s.running++
 	}
 }
-
-// reachedBy reports whether an instance has not lost the path to the server.
-func (s *server) reachedBy(now time.Time, instance string) bool {
-	return !now.Before(s.lostPath[instance]) && !now.Before(s.mutePath[instance])
-}
-
-// via returns the instance that sends to a server: the first of the ranked
-// instances of the server's failure domain that has not lost the path to it.
-// Without one the asking member itself sends, and without its path any other.
-func (d *Dispatcher) via(now time.Time, s *server, asker string) string {
-	if best := d.ranked(now, s, s.Domain); best != "" {
-		return best
-	}
-	if s.reachedBy(now, asker) {
-		return asker
-	}
-	if best := d.ranked(now, s, ""); best != "" {
-		return best
-	}
-	return asker
-}
-
-// ranked returns the first instance for a server by weighted rendezvous
-// hashing, in one failure domain or, if that is empty, in all.
-func (d *Dispatcher) ranked(now time.Time, s *server, domain string) string {
-	best, bestRank := "", 0.0
-	for name, m := range d.members {
-		if domain != "" && m.domain != domain || m.leaving || !s.reachedBy(now, name) {
-			continue
-		}
-		if r := rendezvous.Weighted(name, s.ID, max(m.capacity, minCapacity)); best == "" || r > bestRank {
-			best, bestRank = name, r
-		}
-	}
-	return best
-}
-
-// minCapacity stands for the capacity of an instance that names none, in cores.
-const minCapacity = 0.01
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -324,9 +324,12 @@
 		case now := <-t.C:
 			c.mu.Lock()
 			c.deliver(c.dispatch.Tick(now))
-			transitions := c.dispatch.Transitions()
+			transitions, checks := c.dispatch.Transitions(), c.dispatch.PathChecks()
 			c.mu.Unlock()
 			logTransitions(transitions)
+			for _, check := range checks {
+				go c.checkPaths(ctx, check)
+			}
 		}
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/errkind"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
+	"trefoilstream.example/trefoilstream/internal/sender"
 )
 
 // store stands for the platform: one record of a coordinator, a configuration
@@ -157,7 +158,7 @@
 	name := fmt.Sprint(i)
 	o := Options{
 		Self:   Peer{Name: name, Address: l.Addr().String(), Domain: []string{"a", "b"}[i%2], Capacity: 1},
-		Source: g.store, Store: &caller{store: g.store, name: name},
+		Source: g.store, Store: &caller{store: g.store, name: name}, Sender: sender.New(nil),
 		Bounds: dispatch.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, QuotaWindow: 5 * time.Second},
 	}
 	if len(g.all) > 0 {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -52,6 +52,12 @@
 // New returns a sender.
 func New(d dialect.Dialect) *Sender { return &Sender{client: backend.New(), dialect: d} }
 
+// Reach reports whether a connection to a backend server can be made. It is kept
+// for the next request.
+func (s *Sender) Reach(ctx context.Context, address string) bool {
+	return s.client.Open(ctx, address) == nil
+}
+
 // Run sends a request once. The outcome is Served or Failed if the answer was
 // passed on whole. The error tells the cause of any other outcome.
 func (s *Sender) Run(ctx context.Context, j *Job, reply Reply) (dispatch.Outcome, error) {
