--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -259,7 +259,7 @@
 	team := d.index.Team(a.Team)
 	w.priority = catalog.Priority(w.route, team)
 	if w.Service == "" || !hasService(w.route, w.Service) {
-		w.Service = d.split(w.route)
+		w.Service = w.route.Pick(d.rng)
 	}
 	p := d.pool(w.Service)
 	if !a.Admitted && team != nil && team.Rate > 0 {
@@ -312,14 +312,6 @@
 	return n
 }
 
-// split chooses the part of a split route that is furthest behind its weight.
-func (d *Dispatcher) split(r *catalog.Route) string {
-	if len(r.Services) == 1 {
-		return r.Services[0].Service
-	}
-	return r.Pick(d.rng)
-}
-
 func (d *Dispatcher) refuse(a *Ask, kind errkind.Kind, after time.Duration, why string, inputs ...any) {
 	d.out = append(d.out, Decision{Member: a.Member, Ask: a.Number, Refusal: &Refusal{
 		Kind: kind, RetryAfter: after, Why: fmt.Sprintf(why, inputs...),
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -50,7 +50,6 @@
 // leaves the health check good and ends by itself, so each server is modelled
 // as switching between good and bad, and each outcome updates the probability.
 const (
-	//
 	// The figures were measured on a day without other faults: servers are bad
 	// three tenths of the time, for about six seconds at a time, and good for
 	// about fourteen.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"trefoilstream.example/trefoilstream/internal/board"
 	"trefoilstream.example/trefoilstream/internal/document"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/metrics"
 )
 
 // headerPrefix starts the names of the fleet's own headers, which callers and
@@ -53,28 +54,9 @@
 	Dispatch(ctx context.Context, r *Request) (*Answer, error)
 }
 
-// Observation describes one finished request.
-type Observation struct {
-	Class document.Class
-	Team  string
-	// Result is ResultAnswered, ResultCancelled or the kind of the error.
-	Result string
-	// Status is that of the answer.
-	Status int
-	Took   time.Duration
-}
-
-// Results of requests that ended without an error of the fleet.
-const (
-	// ResultAnswered says that a backend server's answer was passed on whole.
-	ResultAnswered = "answered"
-	// ResultCancelled says that the caller went away.
-	ResultCancelled = "cancelled"
-)
-
 // Observer receives every finished request. It must not block.
 type Observer interface {
-	Observe(o Observation)
+	Observe(o metrics.Observation)
 }
 
 // Entry serves callers. Observer may be nil.
@@ -193,7 +175,9 @@
 	if e.Observer == nil {
 		return
 	}
-	o := Observation{Class: req.Route.ClassOrDefault(), Team: req.Team, Status: w.Status, Took: took, Result: ResultAnswered}
+	o := metrics.Observation{
+		Class: string(req.Route.ClassOrDefault()), Team: req.Team, Status: w.Status, Took: took, Result: metrics.ResultAnswered,
+	}
 	if err != nil {
 		kind := errkind.From(err).Kind
 		o.Result = string(kind)
@@ -202,7 +186,7 @@
 		}
 	}
 	if gone {
-		o.Result = ResultCancelled
+		o.Result = metrics.ResultCancelled
 	}
 	e.Observer.Observe(o)
 }
--- a/internal/instance/requestlog.go
+++ b/internal/instance/requestlog.go
@@ -7,8 +7,6 @@
 
 	"github.com/apex/log"
 
-	"trefoilstream.example/trefoilstream/internal/document"
-	"trefoilstream.example/trefoilstream/internal/entry"
 	"trefoilstream.example/trefoilstream/internal/forward"
 	"trefoilstream.example/trefoilstream/internal/metrics"
 )
@@ -54,12 +52,12 @@
 	result := string(e.Kind)
 	switch e.Kind {
 	case "":
-		result = entry.ResultAnswered
+		result = metrics.ResultAnswered
 	case forward.CallerLeft:
-		result = entry.ResultCancelled
+		result = metrics.ResultCancelled
 	}
-	m.metrics.Observe(entry.Observation{
-		Class: document.Class(e.Class), Team: e.Team, Result: result, Status: e.Status, Took: e.Took,
+	m.metrics.Observe(metrics.Observation{
+		Class: string(e.Class), Team: e.Team, Result: result, Status: e.Status, Took: e.Took,
 	})
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -17,8 +17,6 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
-
-	"trefoilstream.example/trefoilstream/internal/entry"
 )
 
 const (
@@ -47,6 +45,27 @@
 	separator = "_"
 )
 
+// Observation describes one finished request.
+type Observation struct {
+	// Class is the class or kind of its route.
+	Class string
+	// Team is empty on routes open to all.
+	Team string
+	// Result is ResultAnswered, ResultCancelled or the kind of the error.
+	Result string
+	// Status is that of the answer.
+	Status int
+	Took   time.Duration
+}
+
+// Results of requests that ended without an error of the fleet.
+const (
+	// ResultAnswered says that a backend server's answer was passed on whole.
+	ResultAnswered = "answered"
+	// ResultCancelled says that the caller went away.
+	ResultCancelled = "cancelled"
+)
+
 // durationBuckets are the upper bounds of the latency histograms per class.
 // They are dense around the goal for added latency (7.6 ms).
 var durationBuckets = tally.DurationBuckets{
@@ -109,15 +128,15 @@
 func (m *Metrics) Scope() tally.Scope { return m.base.scope }
 
 // Observe implements entry.Observer.
-func (m *Metrics) Observe(o entry.Observation) {
+func (m *Metrics) Observe(o Observation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sample(o.Team)
-	m.record("class", string(o.Class), m.base.scope, durationBuckets, o)
+	m.record("class", o.Class, m.base.scope, durationBuckets, o)
 	m.record("team", m.label(o.Team), m.teams.scope, teamBuckets, o)
 }
 
-func (m *Metrics) record(kind, label string, root tally.Scope, buckets tally.Buckets, o entry.Observation) {
+func (m *Metrics) record(kind, label string, root tally.Scope, buckets tally.Buckets, o Observation) {
 	id := kind + "/" + label
 	s, ok := m.series[id]
 	if !ok {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"trefoilstream.example/trefoilstream/internal/entry"
 )
 
 // Guards against busy teams that are not found among many small ones.
@@ -51,9 +49,9 @@
 func TestMetricsAreServed(t *testing.T) {
 	m := New()
 	for i := range 3 {
-		m.Observe(entry.Observation{Class: "booking", Team: "tugs", Result: entry.ResultAnswered, Status: 200, Took: time.Duration(i) * 5 * time.Millisecond})
+		m.Observe(Observation{Class: "booking", Team: "tugs", Result: ResultAnswered, Status: 200, Took: time.Duration(i) * 5 * time.Millisecond})
 	}
-	m.Observe(entry.Observation{Class: "booking", Team: "", Result: "no_server", Status: 503})
+	m.Observe(Observation{Class: "booking", Team: "", Result: "no_server", Status: 503})
 	text := scrape(t, m)
 	for _, want := range []string{
 		`trefoilstream_class_requests_total{class="booking",result="answered"} 3`,
@@ -75,7 +73,7 @@
 	m := New()
 	observe := func(team string, n int) {
 		for range n {
-			m.Observe(entry.Observation{Class: "latency", Team: team, Result: entry.ResultAnswered})
+			m.Observe(Observation{Class: "latency", Team: team, Result: ResultAnswered})
 		}
 	}
 	for i := range 5_000 {
@@ -106,7 +104,7 @@
 	i := 0
 	for b.Loop() {
 		i++
-		m.Observe(entry.Observation{Class: "latency", Team: teams[i%len(teams)], Result: entry.ResultAnswered, Took: time.Millisecond})
+		m.Observe(Observation{Class: "latency", Team: teams[i%len(teams)], Result: ResultAnswered, Took: time.Millisecond})
 	}
 }
 
