--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,11 +26,9 @@
 	version     int64
 	servers     map[string]catalog.Server
 	refused     map[string]bool
-	// silent instances get no answer; unanswered are those whose calls were
-	// given up before the first answer to another.
-	silent     map[string]bool
-	unanswered []string
-	readers    map[string]int
+	// silent instances get no answer.
+	silent  map[string]bool
+	readers map[string]int
 }
 
 var errRefused = errors.New("refused by the store")
@@ -49,9 +47,6 @@
 		c.store.mu.Unlock()
 		<-ctx.Done()
 		c.store.mu.Lock()
-		if len(c.store.readers) == 0 {
-			c.store.unanswered = append(c.store.unanswered, c.name)
-		}
 		return 0, nil, ctx.Err()
 	}
 	if c.store.refused[c.name] {
@@ -308,35 +303,6 @@
 	})
 }
 
-// Guards against a coordinator that waits for one silent instance after the
-// other: the instance that the store serves is asked while others are silent.
-func TestSilentInstancesAreNotAskedInTurn(t *testing.T) {
-	for range 4 { // the order in which instances are drawn is random
-		g := newGroup(t, 4)
-		eventually(t, "one coordinator and all ready", func() bool { return g.settled(-1) })
-		self := g.coordinators(-1)[0]
-		served := fmt.Sprint((self + 1) % 4)
-		g.store.mu.Lock()
-		clear(g.store.readers)
-		for i := range g.all {
-			g.store.silent[fmt.Sprint(i)] = fmt.Sprint(i) != served
-		}
-		g.store.mu.Unlock()
-		eventually(t, "a call through the instance that the store serves", func() bool {
-			g.store.mu.Lock()
-			defer g.store.mu.Unlock()
-			return g.store.readers[served] > 0
-		})
-		g.store.mu.Lock()
-		for _, name := range g.store.unanswered {
-			if name != fmt.Sprint(self) {
-				t.Errorf("the store was asked through %s before %s, in vain", name, served)
-			}
-		}
-		g.store.mu.Unlock()
-	}
-}
-
 // Guards against an older configuration that comes back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	m := newMirror()
