--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -23,7 +23,7 @@
 	}
 	for _, s := range p.servers {
 		if d.usable(now, s) {
-			out = append(out, candidate{server: s, bad: s.badness(now, p.prior), idle: now.Sub(s.lastUsed) >= exploreAfter})
+			out = append(out, candidate{server: s, bad: s.badness(now), idle: now.Sub(s.lastUsed) >= exploreAfter})
 		}
 	}
 	p.free = out
@@ -140,7 +140,7 @@
 		if s.Draining {
 			continue
 		}
-		if s.badness(now, p.prior) <= toleratedLate || now.Sub(s.lastUsed) < lastResortPause {
+		if s.badness(now) <= toleratedLate || now.Sub(s.lastUsed) < lastResortPause {
 			return false
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -327,7 +327,7 @@
 func (d *Dispatcher) pool(service string) *pool {
 	p := d.pools[service]
 	if p == nil {
-		p = &pool{mean: initialMean, prior: initialPrior, repeats: newRetryBudget(d.began, d.bounds)}
+		p = &pool{mean: initialMean, repeats: newRetryBudget(d.began, d.bounds)}
 		d.pools[service] = p
 	}
 	return p
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -110,7 +110,7 @@
 	f := newFixture(t, 2)
 	for range 6 {
 		for _, s := range []string{"s00", "s01"} {
-			f.d.servers[s].observe(f.now, initialPrior, true)
+			f.d.servers[s].observe(f.now, true)
 		}
 	}
 	out := f.ask("book", nil)
@@ -127,7 +127,7 @@
 // has a free slot.
 func TestBookingsAvoidSuspects(t *testing.T) {
 	f := newFixture(t, 4)
-	f.d.servers["s00"].observe(f.now, initialPrior, true)
+	f.d.servers["s00"].observe(f.now, true)
 	for range 6 {
 		if p := f.permit("book"); p.Server.ID == "s00" {
 			t.Fatal("a booking went to a server that had just failed")
@@ -408,7 +408,7 @@
 	f := newFixture(t, 3)
 	for _, s := range []string{"s00", "s01"} {
 		for range 3 {
-			f.d.servers[s].observe(f.now, initialPrior, true)
+			f.d.servers[s].observe(f.now, true)
 		}
 	}
 	f.d.pools["desk"].repeats = retryBudget{at: f.now}
@@ -445,10 +445,10 @@
 func TestObservationChangesTheBeliefAtOnce(t *testing.T) {
 	f := newFixture(t, 1)
 	s := f.d.servers["s00"]
-	before := s.badness(f.now.Add(time.Second), initialPrior)
+	before := s.badness(f.now.Add(time.Second))
 	f.now = f.now.Add(time.Second)
-	s.observe(f.now, initialPrior, true)
-	if after := s.badness(f.now.Add(time.Millisecond), initialPrior); after < before+0.3 {
+	s.observe(f.now, true)
+	if after := s.badness(f.now.Add(time.Millisecond)); after < before+0.3 {
 		t.Errorf("a millisecond after a failure the probability is %.2f, %.2f before", after, before)
 	}
 }
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -67,11 +67,11 @@
 		limit, idleMax = exploreRepeatable, 0
 	}
 	return c.untested || p.missing > 0 && c.bad < limit ||
-		p.steadyIdle > idleMax && d.steady(now, c.server) && c.bad < d.steadyBelief(p)
+		p.steadyIdle > idleMax && d.steady(now, c.server) && c.bad < d.steadyBelief()
 }
 
 // steadyBelief is the belief about a server whose last observation was a failure
 // as long ago as a server has to be without one to count as steady.
-func (d *Dispatcher) steadyBelief(p *pool) float64 {
-	return p.prior + (1-p.prior)*math.Exp(-d.bounds.SteadyAfter.Seconds()/relaxation.Seconds())
+func (d *Dispatcher) steadyBelief() float64 {
+	return prior + (1-prior)*math.Exp(-d.bounds.SteadyAfter.Seconds()/relaxation.Seconds())
 }
--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -50,13 +50,11 @@
 // since it was sent, the server failed it. If none was, the server or the path is
 // in doubt; when nothing else runs that could tell, the path is checked.
 func (d *Dispatcher) unanswered(now time.Time, s *server, pm *permit) {
-	p := d.pool(s.Service)
 	if !s.lastServed.Before(pm.at) {
-		s.lastFailed = now
-		s.observe(now, p.prior, true)
+		s.observe(now, true)
 		return
 	}
-	s.bad, s.at, s.cachedAt = max(s.badness(now, p.prior), pathDoubt), now, time.Time{}
+	s.bad, s.at, s.cachedAt = max(s.badness(now), pathDoubt), now, time.Time{}
 	if s.running > s.overdue || now.Sub(s.pathCheckedAt) < checkInterval {
 		return
 	}
@@ -105,8 +103,7 @@
 	switch {
 	case suspect:
 		// The path is sound, so the server itself does not answer.
-		s.lastFailed = now
-		s.observe(now, d.pool(s.Service).prior, true)
+		s.observe(now, true)
 	case len(reached) > 0:
 		s.checkedVia, s.checkedUntil, s.untested = reached[0], now.Add(checkedMemory), true
 		d.serve(now, s.Service)
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -44,7 +44,7 @@
 }
 
 func (f *fixture) bad(id string) float64 {
-	return f.d.servers[id].badness(f.now, f.d.pool("desk").prior)
+	return f.d.servers[id].badness(f.now)
 }
 
 // Guards against a sound server that gets nothing since the instance that sends
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,7 +43,6 @@
 	order   []int
 	mean    time.Duration
 	load    arrivals
-	prior   float64
 	repeats retryBudget
 }
 
@@ -154,7 +153,7 @@
 	p := d.pool(service)
 	for _, s := range p.servers {
 		if !s.Draining && !s.out && !now.Before(s.pausedUntil) {
-			n += float64(s.Slots) * max(leastSlotShare, 1-s.badness(now, p.prior))
+			n += float64(s.Slots) * max(leastSlotShare, 1-s.badness(now))
 		}
 	}
 	return n
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -67,21 +67,19 @@
 	p := d.pool(s.Service)
 	switch o {
 	case Served:
-		s.observe(now, p.prior, false)
+		s.observe(now, false)
 		s.downPause, s.lastServed = 0, now
 		delete(s.lostPath, pm.via)
 		d.suspects.answered(pm.fingerprint)
 		p.mean += time.Duration(meanWeight * float64(took-p.mean))
 		d.stats(pm.route).served(took, pm.bytes)
 	case Failed:
-		s.lastFailed = now
-		s.observe(now, p.prior, true)
+		s.observe(now, true)
 		d.suspects.answered(pm.fingerprint)
 	case Dropped:
 		d.suspects.dropped(now, pm.fingerprint)
 		if !pm.overdue {
-			s.lastFailed = now
-			s.observe(now, p.prior, true)
+			s.observe(now, true)
 		}
 	case Stalled:
 		if !pm.overdue {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -53,7 +53,7 @@
 	// The figures were measured on a day without other faults: servers are bad
 	// three tenths of the time, for about six seconds at a time, and good for
 	// about fourteen.
-	initialPrior = 0.28
+	prior = 0.28
 	// failWhenGood and failWhenBad are the shares of requests that fail on a
 	// server of either state.
 	failWhenGood = 0.015
@@ -116,7 +116,7 @@
 }
 
 // badness returns the probability that the server fails a request now.
-func (s *server) badness(now time.Time, prior float64) float64 {
+func (s *server) badness(now time.Time) float64 {
 	dt := now.Sub(s.at)
 	if dt <= 0 {
 		return s.bad
@@ -135,11 +135,12 @@
 )
 
 // observe updates the belief with one outcome.
-func (s *server) observe(now time.Time, prior float64, failed bool) {
-	p := s.badness(now, prior)
+func (s *server) observe(now time.Time, failed bool) {
+	p := s.badness(now)
 	good, bad := 1-failWhenGood, 1-failWhenBad
 	if failed {
 		good, bad = failWhenGood, failWhenBad
+		s.lastFailed = now
 	}
 	s.bad = p * bad / (p*bad + (1-p)*good)
 	s.at, s.cachedAt = now, time.Time{}
@@ -194,7 +195,7 @@
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Born != in.Born || s.Service != in.Service {
-		fresh := &server{Server: in, bad: initialPrior, at: now, coldAt: now, lostPath: make(map[string]time.Time)}
+		fresh := &server{Server: in, bad: prior, at: now, coldAt: now, lostPath: make(map[string]time.Time)}
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
@@ -267,7 +268,7 @@
 func (d *Dispatcher) Suspicions(now time.Time) []Suspicion {
 	var out []Suspicion
 	for id, s := range d.servers {
-		if b := s.badness(now, d.pool(s.Service).prior); math.Abs(b-initialPrior) > 0.1 {
+		if b := s.badness(now); math.Abs(b-prior) > 0.1 {
 			out = append(out, Suspicion{Server: id, Bad: b})
 		}
 	}
