--- a/cmd/trefoilstreamd/platform.go
+++ b/cmd/trefoilstreamd/platform.go
@@ -33,12 +33,16 @@
 	if err != nil {
 		return err
 	}
+	policy, err := dispatch.ParsePolicy(s.Policy)
+	if err != nil {
+		return err
+	}
 	debug.SetGCPercent(gcPercent)
 	log.SetHandler(jsonlog.New(os.Stdout))
 	log.SetLevelFromString(s.LogLevel)
 	return instance.Run(s, instance.Adapter{
 		Dialect: platform.Dialect{}, Source: platform.Reader{}, Store: platform.NewStore(s.StoreAddress),
-		ReadinessPath: platform.ReadinessPath, Grace: bounds.Grace.Duration(),
+		Policy: policy, ReadinessPath: platform.ReadinessPath, Grace: bounds.Grace.Duration(),
 		Bounds: dispatch.Bounds{
 			RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow.Duration(),
 			QuotaWindow: bounds.QuotaWindow.Duration(), QuotaOvershoot: bounds.QuotaOvershoot, QuotaSlack: bounds.QuotaSlack,
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -11,16 +11,6 @@
 const (
 	// rateTimeConstant is the time constant of a service's arrival rate.
 	rateTimeConstant = 2 * time.Second
-	// saturationLoad is the load, relative to capacity, above which the queue is
-	// not expected to shrink: queued requests past their objective are refused.
-	saturationLoad = 1.1
-	// overloadLoad is the load, relative to capacity, above which new requests
-	// that would wait long (see overloadWaitShare) are refused at once. A burst
-	// that is too short to reach it is served late rather than refused.
-	overloadLoad = 1.25
-	// overloadWaitShare is the part of a request's slack before its objective
-	// that it may wait in the queue under overload.
-	overloadWaitShare = 0.5
 	// budgetRetryAfter is the Retry-After of a request whose retry does not fit
 	// into the retry budget; the caller may send a new request.
 	budgetRetryAfter = 50 * time.Millisecond
@@ -78,8 +68,8 @@
 	}
 	wait := p.queueWait(ahead, slots)
 	remaining := w.Deadline.Sub(now) - responseMargin
-	slack := time.Duration(overloadWaitShare * float64(w.route.Objective-d.stats(w.Route).meanServiceTime))
-	if wait > remaining || p.utilisation(now, slots) > overloadLoad && wait > slack {
+	slack := time.Duration(d.policy.Admission.OverloadWaitShare * float64(w.route.Objective-d.stats(w.Route).meanServiceTime))
+	if wait > remaining || p.utilisation(now, slots) > d.policy.Admission.OverloadLoad && wait > slack {
 		p.queue = slices.Delete(p.queue, position, position+1)
 		d.refuse(&w.PermitRequest, errkind.Overloaded, max(overloadRetryMin, wait/2),
 			"%d requests ahead for %.1f slots, load %.2f, expected wait %v, time left %v", ahead-1, slots, p.utilisation(now, slots), wait, remaining)
@@ -97,7 +87,7 @@
 	ahead := 0
 	p.removeIf(func(w *queuedRequest) bool {
 		remaining := w.Deadline.Sub(now) - responseMargin
-		if remaining <= time.Duration(minTimeFactor*float64(d.stats(w.Route).meanServiceTime)) {
+		if remaining <= time.Duration(d.policy.Admission.MinTimeFactor*float64(d.stats(w.Route).meanServiceTime)) {
 			d.refuse(&w.PermitRequest, errkind.DeadlineExceededQueued, 0, "%v left, %d in the queue for %.1f slots", remaining, len(p.queue), slots)
 			return true
 		}
@@ -111,7 +101,7 @@
 		// New arrivals are served first, so only the spare slots are left for
 		// requests past their objective.
 		ahead++
-		if spare < 1-saturationLoad || spare > 0 && p.queueWait(ahead, slots*spare) > remaining {
+		if spare < 1-d.policy.Admission.SaturationLoad || spare > 0 && p.queueWait(ahead, slots*spare) > remaining {
 			d.refuse(&w.PermitRequest, errkind.Overloaded, max(overloadRetryMin, p.queueWait(len(p.queue), slots)/2),
 				"past its latency objective, %d such requests ahead for %.1f slots, load %.2f", ahead-1, slots, 1-spare)
 			return true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -123,6 +123,7 @@
 // use.
 type Dispatcher struct {
 	bounds  Bounds
+	policy  *Policy
 	rng     *rand.Rand
 	index   *catalog.Index
 	servers map[string]*server
@@ -160,13 +161,13 @@
 }
 
 // New returns a dispatcher without a configuration.
-func New(now time.Time, bounds Bounds, seed uint64) *Dispatcher {
+func New(now time.Time, bounds Bounds, policy *Policy, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		startedAt: now, bounds: bounds, rng: rand.New(rand.NewPCG(seed, 0)),
+		startedAt: now, bounds: bounds, policy: policy, rng: rand.New(rand.NewPCG(seed, 0)),
 		index:   catalog.NewIndex(&catalog.Config{}),
 		servers: make(map[string]*server), pools: make(map[string]*pool), teams: make(map[string]*tokenBucket),
 		permits: make(map[uint64]*permit), domainsOut: make(map[string]bool), members: make(map[string]member),
-		crashes: newCrashTracker(), routes: make(map[string]*routeStats), connectedShare: 1, permitSeq: rand.Uint64() >> 1,
+		crashes: newCrashTracker(&policy.Crash), routes: make(map[string]*routeStats), connectedShare: 1, permitSeq: rand.Uint64() >> 1,
 	}
 }
 
@@ -266,11 +267,13 @@
 		d.refuse(&req, errkind.StaleConfiguration, 0, "configuration %d of the coordinator has no route %q", d.index.Config.Version, req.Route)
 		return d.flush()
 	case d.crashes.quarantined(now, req.Fingerprint):
-		d.refuse(&req, errkind.QuarantinedRequest, 0, "request fingerprint %x: servers dropped %d connections", req.Fingerprint, quarantineDrops)
+		d.refuse(&req, errkind.QuarantinedRequest, 0, "request fingerprint %x: servers dropped %d connections", req.Fingerprint, d.policy.Crash.QuarantineDrops)
 		return d.flush()
 	}
 	team := d.index.Team(req.Team)
-	w.priority = catalog.Priority(w.route, team)
+	if !d.policy.Admission.IgnorePriority {
+		w.priority = catalog.Priority(w.route, team)
+	}
 	if w.Service == "" || !hasService(w.route, w.Service) {
 		w.Service = w.route.Pick(d.rng)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -22,6 +22,8 @@
 	QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, FloorShare: 0.7, SteadyAfter: 6 * time.Second,
 }
 
+var testPolicy = DefaultPolicy()
+
 func testConfig() *catalog.Config {
 	return &catalog.Config{
 		Version: 1,
@@ -40,7 +42,7 @@
 // domains and n backend servers of two slots.
 func newFixture(t *testing.T, n int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, d: New(time.Unix(1000, 0), testBounds, 1), now: time.Unix(1000, 0)}
+	f := &fixture{t: t, d: New(time.Unix(1000, 0), testBounds, &testPolicy, 1), now: time.Unix(1000, 0)}
 	f.d.SetConfig(f.now, testConfig())
 	for _, domain := range []string{"a", "b"} {
 		for i := range 2 {
@@ -275,8 +277,8 @@
 			f.d.Done(f.now, Report{Permit: d.Permit.Number, Member: "a0", Server: d.Permit.Server.ID, Fingerprint: 42, Outcome: Dropped})
 		}
 	}
-	if sent != quarantineDrops {
-		t.Errorf("a request that drops connections was sent %d times, want %d", sent, quarantineDrops)
+	if sent != testPolicy.Crash.QuarantineDrops {
+		t.Errorf("a request that drops connections was sent %d times, want %d", sent, testPolicy.Crash.QuarantineDrops)
 	}
 }
 
@@ -418,7 +420,7 @@
 	if out := append(f.request("look", nil), f.request("book", nil)...); len(out) != 0 {
 		t.Fatalf("decided at once: %+v", out)
 	}
-	f.now = f.now.Add(suspectWait + 10*time.Millisecond)
+	f.now = f.now.Add(testPolicy.Choice.SuspectWait + 10*time.Millisecond)
 	out := f.d.Tick(f.now)
 	if len(out) != 1 || out[0].Permit == nil || out[0].Permit.Server.ID == "s02" {
 		t.Fatalf("decisions %+v after suspectWait, want one permit on a suspect server", out)
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -5,29 +5,8 @@
 	"time"
 )
 
-// Parameters of the floor: the share of the healthy servers of a service that
-// must get work in any two seconds while some of its requests fail.
-const (
-	// exploreAfter is the idle time after which a server that may be healthy gets
-	// a request although more trusted ones are free, if fewer servers than the
-	// floor requires had work within floorWindow.
-	exploreAfter = 1300 * time.Millisecond
-	floorWindow  = 1600 * time.Millisecond
-	// floorInterval is how often the floor is evaluated.
-	floorInterval = 25 * time.Millisecond
-	// healthyAfter is the time after a failure from which a server counts as
-	// healthy again.
-	healthyAfter = 2 * time.Second
-	// maxSteadyIdleUnsafe is how many steady servers may be idle before requests
-	// that are not repeatable are used to test them: with two of seven idle, a
-	// floor of 0.7 is still met.
-	maxSteadyIdleUnsafe = 2
-	// exploreUnsafe and exploreRepeatable are the probabilities of failure below
-	// which a healthy server is tested: by a request that is not repeatable, and
-	// by one that is and can therefore be retried.
-	exploreUnsafe     = 0.3
-	exploreRepeatable = 0.75
-)
+// floorInterval is how often the floor is evaluated.
+const floorInterval = 25 * time.Millisecond
 
 // floorState returns how many more healthy servers must get work to meet the
 // floor, and how many steady ones are idle. The operators may evaluate the floor
@@ -36,12 +15,12 @@
 func (d *Dispatcher) floorState(now time.Time, p *pool) (deficit, steadyIdle int) {
 	healthy, used := 0, 0
 	for _, s := range p.servers {
-		if s.Draining || s.domainOut || now.Before(s.pausedUntil) || now.Sub(s.lastFailed) < healthyAfter {
+		if s.Draining || s.domainOut || now.Before(s.pausedUntil) || now.Sub(s.lastFailed) < d.policy.Floor.HealthyAfter {
 			continue
 		}
 		healthy++
 		switch {
-		case now.Sub(s.lastUsed) < floorWindow:
+		case now.Sub(s.lastUsed) < d.policy.Floor.Window:
 			used++
 		case d.steady(now, s):
 			steadyIdle++
@@ -61,9 +40,9 @@
 	if !c.idle {
 		return false
 	}
-	limit, idleMax := exploreUnsafe, maxSteadyIdleUnsafe
+	limit, idleMax := d.policy.Floor.ExploreUnsafe, d.policy.Floor.MaxSteadyIdleUnsafe
 	if w.route.Kind.Repeatable() && !w.IsRetry {
-		limit, idleMax = exploreRepeatable, 0
+		limit, idleMax = d.policy.Floor.ExploreRepeatable, 0
 	}
 	return c.untested || p.floorDeficit > 0 && c.failProb < limit ||
 		p.steadyIdle > idleMax && d.steady(now, c.server) && c.failProb < d.steadyFailProb()
@@ -72,5 +51,5 @@
 // steadyFailProb returns the belief about a server whose last observation was a
 // failure SteadyAfter ago.
 func (d *Dispatcher) steadyFailProb() float64 {
-	return priorFailProb + (1-priorFailProb)*math.Exp(-d.bounds.SteadyAfter.Seconds()/beliefTimeConstant.Seconds())
+	return d.policy.Belief.Prior + (1-d.policy.Belief.Prior)*math.Exp(-d.bounds.SteadyAfter.Seconds()/d.policy.Belief.TimeConstant.Seconds())
 }
--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -13,21 +13,10 @@
 // connection to the server from that instance and from others. A request that is
 // not repeatable would be too expensive a probe.
 const (
-	// unreachableTTL is how long an instance that could not connect to a server
-	// is not used to send to it.
-	unreachableTTL = 5 * time.Second
-	// checkResultTTL is how long the result of a path check is valid. Each return
-	// to a path that is still lost costs a request.
-	checkResultTTL = 10 * time.Second
-	// checkInterval is the minimum time between path checks of one server.
-	checkInterval = 2 * time.Second
 	// extraCheckInstances is how many more instances connect if neither of the
 	// first two did. With a third of the instances cut off, all five instances
 	// besides the sender are among them in one check of 240.
 	extraCheckInstances = 4
-	// pathDoubtFailProb is the least probability of failure of a server that may
-	// only have lost its path: either cause is equally likely.
-	pathDoubtFailProb = 0.5
 )
 
 // PathCheck requests connections from instances to a server.
@@ -56,8 +45,8 @@
 		s.observe(now, true)
 		return
 	}
-	s.failProb, s.failProbAt, s.cachedAt = max(s.failureProbability(now), pathDoubtFailProb), now, time.Time{}
-	if s.running > s.overdue || now.Sub(s.pathCheckedAt) < checkInterval {
+	s.failProb, s.failProbAt, s.cachedAt = max(s.failureProbability(now), d.policy.Path.DoubtFailProb), now, time.Time{}
+	if d.policy.Path.Disabled || s.running > s.overdue || now.Sub(s.pathCheckedAt) < d.policy.Path.CheckInterval {
 		return
 	}
 	s.pathCheckedAt = now
@@ -95,7 +84,7 @@
 		return nil
 	}
 	for _, via := range lost {
-		s.unreachableFrom[via] = now.Add(checkResultTTL)
+		s.unreachableFrom[via] = now.Add(d.policy.Path.CheckResultTTL)
 	}
 	senderReached := false
 	for _, via := range reached {
@@ -107,7 +96,7 @@
 		// The path works, so it is the server that does not respond.
 		s.observe(now, true)
 	case len(reached) > 0:
-		s.checkedVia, s.checkedUntil, s.untested = reached[0], now.Add(checkResultTTL), true
+		s.checkedVia, s.checkedUntil, s.untested = reached[0], now.Add(d.policy.Path.CheckResultTTL), true
 		d.serveQueue(now, s.Service)
 	case len(lost) > 0 && !c.SecondRound:
 		d.checkMoreInstances(now, s)
@@ -175,7 +164,7 @@
 			others++
 		}
 	}
-	s.unreachableFrom[via] = now.Add(unreachableTTL)
+	s.unreachableFrom[via] = now.Add(d.policy.Path.UnreachableTTL)
 	if others > 0 {
 		d.markDown(now, s)
 	}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -57,7 +57,7 @@
 	hung, check := f.hang("s00")
 	f.done(hung[0], Dropped)
 	f.d.PathsChecked(f.now, check, check.Via[1:2], check.Via[:1])
-	if failProb := f.failProb("s00"); failProb < trustThreshold || failProb > pathDoubtFailProb {
+	if failProb := f.failProb("s00"); failProb < testPolicy.Belief.Trust || failProb > testPolicy.Path.DoubtFailProb {
 		t.Errorf("probability of failure %.2f, want one of a suspect server that may be healthy", failProb)
 	}
 	out := f.onlyServer("s00")
@@ -68,7 +68,7 @@
 		t.Errorf("request sent through %s, but %s reaches the server", out[0].Permit.Via, check.Via[1])
 	}
 	f.done(out[0].Permit, Served)
-	if failProb := f.failProb("s00"); failProb > trustThreshold {
+	if failProb := f.failProb("s00"); failProb > testPolicy.Belief.Trust {
 		t.Errorf("probability of failure %.2f after the server responded on another path", failProb)
 	}
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -13,15 +13,6 @@
 	initialServiceTime = 200 * time.Millisecond
 	// serviceTimeWeight is the weight of a new sample in the moving average.
 	serviceTimeWeight = 0.05
-	// A repeatable request counts as stalled after stallFactor times the mean
-	// service time of its route, but not before stallMin. One in a hundred
-	// requests takes three to five times the mean.
-	stallFactor = 4
-	stallMin    = 500 * time.Millisecond
-	// minTimeFactor times the mean service time of the route must be left before
-	// the deadline for a request to be sent. With less, the request would occupy a
-	// slot and be cut off.
-	minTimeFactor = 0.5
 	// permitExpiry frees the slot of a request whose end was never reported.
 	permitExpiry = 20 * time.Second
 	// responseMargin is the part of a request's time reserved for returning the
@@ -127,12 +118,12 @@
 			to++
 		}
 		for i := from; i < to; i++ {
-			if d.onTime(now, p.queue[i]) {
+			if d.servedFirst(now, p.queue[i]) {
 				out = append(out, i)
 			}
 		}
 		for i := from; i < to; i++ {
-			if !d.onTime(now, p.queue[i]) {
+			if !d.servedFirst(now, p.queue[i]) {
 				out = append(out, i)
 			}
 		}
@@ -142,6 +133,11 @@
 	return out
 }
 
+// servedFirst reports whether a request is served before the late ones.
+func (d *Dispatcher) servedFirst(now time.Time, w *queuedRequest) bool {
+	return d.policy.Admission.IgnoreObjective || d.onTime(now, w)
+}
+
 // onTime reports whether a request can still meet its latency objective.
 func (d *Dispatcher) onTime(now time.Time, w *queuedRequest) bool {
 	return now.Sub(w.ArrivedAt)+d.stats(w.Route).meanServiceTime < w.route.Objective
@@ -187,7 +183,7 @@
 // stallTimeout returns the time after which a request of a route counts as
 // stalled.
 func (d *Dispatcher) stallTimeout(route string) time.Duration {
-	return max(stallMin, stallFactor*d.stats(route).meanServiceTime)
+	return max(d.policy.Admission.StallMin, time.Duration(d.policy.Admission.StallFactor*float64(d.stats(route).meanServiceTime)))
 }
 
 // add adds a server to the pool, replacing an earlier one with the same ID.
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -131,17 +131,11 @@
 	return used, retryMargin * (b.RetrySlack + b.RetryRatio*requests) * share
 }
 
-// quarantineDrops is how many server connections a request may make drop before it
-// is refused.
-const quarantineDrops = 3
-
-// quarantineTTL is how long the crashes caused by a request are remembered.
-const quarantineTTL = 30 * time.Second
-
 // crashTracker counts, by request fingerprint, how often servers dropped the
 // connection.
 type crashTracker struct {
-	drops map[uint64]*drops
+	policy *CrashPolicy
+	drops  map[uint64]*drops
 }
 
 type drops struct {
@@ -149,7 +143,9 @@
 	last  time.Time
 }
 
-func newCrashTracker() *crashTracker { return &crashTracker{drops: make(map[uint64]*drops)} }
+func newCrashTracker(p *CrashPolicy) *crashTracker {
+	return &crashTracker{policy: p, drops: make(map[uint64]*drops)}
+}
 
 func (c *crashTracker) recordDrop(now time.Time, fingerprint uint64) {
 	if fingerprint == 0 {
@@ -157,13 +153,13 @@
 	}
 	if len(c.drops) > 10_000 {
 		for k, e := range c.drops {
-			if now.Sub(e.last) > quarantineTTL {
+			if now.Sub(e.last) > c.policy.QuarantineTTL {
 				delete(c.drops, k)
 			}
 		}
 	}
 	e := c.drops[fingerprint]
-	if e == nil || now.Sub(e.last) > quarantineTTL {
+	if e == nil || now.Sub(e.last) > c.policy.QuarantineTTL {
 		e = &drops{}
 		c.drops[fingerprint] = e
 	}
@@ -176,5 +172,5 @@
 
 func (c *crashTracker) quarantined(now time.Time, fingerprint uint64) bool {
 	e := c.drops[fingerprint]
-	return e != nil && e.count >= quarantineDrops && now.Sub(e.last) < quarantineTTL
+	return e != nil && e.count >= c.policy.QuarantineDrops && now.Sub(e.last) < c.policy.QuarantineTTL
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -88,13 +88,13 @@
 	case Unreachable:
 		d.recordUnreachable(now, s, pm.via)
 	case Shed:
-		s.pausedUntil = later(s.pausedUntil, now.Add(shedPause))
+		s.pausedUntil = later(s.pausedUntil, now.Add(d.policy.Admission.ShedPause))
 	case Misdirected:
 		// The directory is out of date; the record that replaces this one has a new
 		// Incarnation.
 		s.Draining = true
 	case Unsent:
-		s.unreachableFrom[pm.via] = now.Add(unreachableTTL)
+		s.unreachableFrom[pm.via] = now.Add(d.policy.Path.UnreachableTTL)
 	case Cancelled:
 	}
 	d.noteTransition(s, o)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -47,39 +47,19 @@
 	return "unknown"
 }
 
-// Parameters of the estimate of how likely a server is to fail its requests. A
-// gray failure passes the health check and ends by itself, so each server is
-// modelled as a two-state Markov process, good or bad, and each outcome updates
-// the probability of the bad state (the belief).
-const (
-	// priorFailProb is the belief without any observation. Without other faults,
-	// servers are bad three tenths of the time, for about six seconds at a time,
-	// and good for about fourteen.
-	priorFailProb = 0.28
-	// failWhenGood and failWhenBad are the shares of requests that fail on a
-	// server in each state.
-	failWhenGood = 0.015
-	failWhenBad  = 0.8
-	// beliefTimeConstant is the time constant with which the belief returns to
-	// the prior while nothing is observed: about 1/(1/6 s + 1/14 s).
-	beliefTimeConstant = 4500 * time.Millisecond
-	// trustThreshold is the probability below which a server is trusted.
-	trustThreshold = 0.4
-)
-
 // Back-off from servers that cannot be reached or shed load.
 const (
 	// downPause is the first pause before a server that no instance could reach
 	// is tried again; it doubles up to downPauseMax.
 	downPause    = 500 * time.Millisecond
 	downPauseMax = 3 * time.Second
-	// shedPause is how long a server gets no requests after it shed one.
-	shedPause = 150 * time.Millisecond
 )
 
 // server is the state of a backend server.
 type server struct {
 	catalog.Server
+	// policy is that of the dispatcher.
+	policy *BeliefPolicy
 	// failProb is the belief at failProbAt: the probability that the server is
 	// in the bad state, in which it fails most requests.
 	failProb   float64
@@ -127,24 +107,22 @@
 		return s.failProb
 	}
 	if age := now.Sub(s.cachedAt); age < 0 || age >= beliefCacheTime || s.cachedAt.Before(s.failProbAt) {
-		s.cachedFailProb = priorFailProb + (s.failProb-priorFailProb)*math.Exp(-dt.Seconds()/beliefTimeConstant.Seconds())
+		s.cachedFailProb = s.policy.Prior + (s.failProb-s.policy.Prior)*math.Exp(-dt.Seconds()/s.policy.TimeConstant.Seconds())
 		s.cachedAt = now
 	}
 	return s.cachedFailProb
 }
 
-const (
-	// beliefCacheTime is how long a computed belief is reused. A belief changes
-	// by 1% in that time.
-	beliefCacheTime = 50 * time.Millisecond
-)
+// beliefCacheTime is how long a computed belief is reused. A belief changes by 1% in
+// that time.
+const beliefCacheTime = 50 * time.Millisecond
 
 // observe updates the belief with one outcome, by Bayes' rule.
 func (s *server) observe(now time.Time, failed bool) {
 	p := s.failureProbability(now)
-	good, bad := 1-failWhenGood, 1-failWhenBad
+	good, bad := 1-s.policy.FailWhenGood, 1-s.policy.FailWhenBad
 	if failed {
-		good, bad = failWhenGood, failWhenBad
+		good, bad = s.policy.FailWhenGood, s.policy.FailWhenBad
 		s.lastFailed = now
 	}
 	s.failProb = p * bad / (p*bad + (1-p)*good)
@@ -170,7 +148,7 @@
 
 // noteTransition records a transition if the belief crossed the trust threshold.
 func (d *Dispatcher) noteTransition(s *server, o Outcome) {
-	if suspected := s.failProb > trustThreshold; suspected != s.suspected {
+	if suspected := s.failProb > d.policy.Belief.Trust; suspected != s.suspected {
 		s.suspected = suspected
 		d.transitions = append(d.transitions, Transition{Server: s.ID, Service: s.Service, Suspected: suspected, FailureProbability: s.failProb, Outcome: o})
 	}
@@ -193,7 +171,7 @@
 	if !ok || service.ColdRate <= 0 {
 		return true
 	}
-	s.coldTokens = math.Min(1, s.coldTokens+now.Sub(s.coldRefilledAt).Seconds()*service.ColdRate*d.connectedShare)
+	s.coldTokens = math.Min(1, s.coldTokens+now.Sub(s.coldRefilledAt).Seconds()*service.ColdRate*d.policy.Admission.ColdFactor*d.connectedShare)
 	s.coldRefilledAt = now
 	return s.coldTokens >= 1
 }
@@ -202,7 +180,7 @@
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Incarnation != in.Incarnation || s.Service != in.Service {
-		fresh := &server{Server: in, failProb: priorFailProb, failProbAt: now, coldRefilledAt: now, unreachableFrom: make(map[string]time.Time)}
+		fresh := &server{Server: in, policy: &d.policy.Belief, failProb: d.policy.Belief.Prior, failProbAt: now, coldRefilledAt: now, unreachableFrom: make(map[string]time.Time)}
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
@@ -276,7 +254,7 @@
 func (d *Dispatcher) Suspicions(now time.Time) []Suspicion {
 	var out []Suspicion
 	for id, s := range d.servers {
-		if b := s.failureProbability(now); math.Abs(b-priorFailProb) > 0.1 {
+		if b := s.failureProbability(now); math.Abs(b-d.policy.Belief.Prior) > 0.1 {
 			out = append(out, Suspicion{Server: id, FailureProbability: b})
 		}
 	}
@@ -289,7 +267,7 @@
 	for _, x := range in {
 		if s := d.servers[x.Server]; s != nil {
 			s.failProb, s.failProbAt, s.cachedAt = x.FailureProbability, now, time.Time{}
-			if x.FailureProbability > trustThreshold {
+			if x.FailureProbability > d.policy.Belief.Trust {
 				// The time of its last failure is unknown, so it does not count as healthy
 				// or steady before it has been tested.
 				s.lastFailed = now
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -100,7 +100,7 @@
 	c := &coordinator{
 		fleet: f, cancel: cancel, sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
 		disconnected: make(map[string]time.Time), startedAt: now, rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
-		dispatcher: dispatch.New(now, f.opts.Bounds, rand.Uint64()),
+		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
 	r := f.replica
 	if x := r.index.Load(); x != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,6 +76,7 @@
 	// FirstStart is true only for the first start of the whole fleet.
 	FirstStart bool
 	Bounds     dispatch.Bounds
+	Policy     dispatch.Policy
 	Source     Source
 	Store      StoreCaller
 	Sender     *sender.Sender
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -155,6 +155,7 @@
 		Self:   Peer{Name: name, Address: l.Addr().String(), Domain: []string{"a", "b"}[i%2], Capacity: 1},
 		Source: fleet.store, Store: &fakeStoreCaller{store: fleet.store, instance: name}, Sender: sender.New(nil),
 		Bounds: dispatch.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, QuotaWindow: 5 * time.Second},
+		Policy: dispatch.DefaultPolicy(),
 	}
 	if len(fleet.instances) > 0 {
 		opts.Seeds = []string{fleet.instances[0].opts.Self.Address}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -33,6 +33,7 @@
 	Source        fleet.Source
 	Store         fleet.StoreCaller
 	Bounds        dispatch.Bounds
+	Policy        dispatch.Policy
 	ReadinessPath string
 	// Grace is the time from SIGTERM until the platform kills the process.
 	Grace time.Duration
@@ -63,7 +64,7 @@
 	f := fleet.New(fleet.Options{
 		Self:  fleet.Peer{Name: s.InstanceID, Address: s.PeerAddress, Domain: s.FailureDomain, Capacity: s.Cores()},
 		Seeds: s.SeedList(), FirstStart: s.FirstStart,
-		Bounds: a.Bounds, Source: a.Source, Store: a.Store, Sender: sender.New(a.Dialect),
+		Bounds: a.Bounds, Policy: a.Policy, Source: a.Source, Store: a.Store, Sender: sender.New(a.Dialect),
 	})
 	peers, err := fleet.Listen(ctx, s.PeerAddress)
 	if err != nil {
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -26,7 +26,9 @@
 	// StoreAddress is the platform's store, as host:port.
 	StoreAddress string
 	// Bounds holds the limits and time spans agreed with the platform, as JSON.
-	Bounds   string
+	Bounds string
+	// Policy holds the values of dispatch.Policy that a trial changes, as JSON.
+	Policy   string
 	LogLevel string
 	// FirstStart is set when the whole fleet starts for the first time.
 	FirstStart bool
@@ -44,6 +46,7 @@
 		{"seeds", "peer addresses of instances that may know the coordinator, separated by commas", &s.Seeds},
 		{"store", "address of the platform's store, host:port", &s.StoreAddress},
 		{"bounds", "limits and time spans agreed with the platform, as JSON", &s.Bounds},
+		{"policy", "for trials: values of the dispatch policy that differ from the defaults, as JSON", &s.Policy},
 		{"first-start", "the whole fleet starts for the first time", &s.FirstStart},
 		{"capacity", "share of processors that the instance may use, in cores", &s.Capacity},
 		{"log-level", "debug, info, warn or error", &s.LogLevel},
