Log what was believed of a server when it was chosen

A line about a request that was not served now gives the reason of the choice, the probability of failure, the age of the server's last outcome and how long the request had waited; requests served after their latency objective get a line request_late. Half of the 20 lines a second are kept for requests that were not served.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -47,7 +47,9 @@
 	// StallTimeout is how long a repeatable request may run before it is retried on
 	// another server; 0 means no limit.
 	StallTimeout time.Duration
-	fingerprint  uint64
+	// Basis is what decided for the server, for the log.
+	Basis       dispatch.Basis
+	fingerprint uint64
 }
 
 // Refused is the error for a permit that the coordinator denied.
@@ -186,10 +188,29 @@
 	return nil
 }
 
+// reasonToProto shortens the usual reason, since each permit carries one.
+func reasonToProto(r dispatch.Reason) string {
+	if r == dispatch.Trusted {
+		return ""
+	}
+	return string(r)
+}
+
+func reasonFromProto(r string) dispatch.Reason {
+	if r == "" {
+		return dispatch.Trusted
+	}
+	return dispatch.Reason(r)
+}
+
 func (m *Member) handlePermit(p *peerpb.Permit) {
 	permit := &Permit{
 		id: p.Number, Server: p.Server, Address: p.ServerAddress, Service: p.Service, Via: p.Via,
 		StallTimeout: time.Duration(p.StallMs) * time.Millisecond,
+		Basis: dispatch.Basis{
+			Reason: reasonFromProto(p.Reason), FailureProbability: float64(p.FailureProbability),
+			OutcomeAge: time.Duration(p.OutcomeAgeMs)*time.Millisecond - time.Millisecond,
+		},
 	}
 	if permit.Via == m.fleet.opts.Self.Address {
 		permit.Via = ""
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,12 @@
 	Status  int
 	Sends   int
 	Took    time.Duration
+	// Waited is the time from the arrival to the last permit; 0 without one.
+	Waited time.Duration
+	// Objective is the latency objective of the route; 0 if no route matched.
+	Objective time.Duration
+	// Basis is what decided for the server of the last permit.
+	Basis dispatch.Basis
 	// Cause is the error of the last attempt or, without one, of the refusal.
 	Cause error
 	// Version is that of the configuration; 0 if none is loaded.
@@ -174,7 +180,7 @@
 	if r.route == nil {
 		return errkind.Errorf(errkind.NoRoute, "no route for host %q", r.in.Host)
 	}
-	r.summary.Route, r.summary.Class = r.route.Name, r.route.Kind
+	r.summary.Route, r.summary.Class, r.summary.Objective = r.route.Name, r.route.Kind, r.route.Objective
 	r.team = ""
 	if r.route.Public || !r.index.KeysRequired() {
 		return nil
@@ -254,6 +260,7 @@
 	r.service = p.Service
 	r.triedServers = append(r.triedServers, p.Server)
 	r.sends++
+	r.summary.Waited, r.summary.Basis = time.Since(r.in.Arrived), p.Basis
 	r.summary.Server, r.summary.Service, r.summary.Via, r.summary.Sends = p.Server, p.Service, p.Via, r.sends
 	reply := &collector{w: r.w}
 	start := time.Now()
--- a/internal/instance/requestlog.go
+++ b/internal/instance/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -12,14 +13,16 @@
 )
 
 const (
-	// linesPerSecond limits the log lines about requests that failed or were
-	// retried.
+	// linesPerSecond limits the log lines about requests that failed, were
+	// retried or late.
 	linesPerSecond = 20
+	// lateReserve is how many of these are kept for requests that were not served.
+	lateReserve = 10
 	// lineQueueSize bounds the lines that wait to be written.
 	lineQueueSize = 64
 )
 
-// requestLog writes one line for each request that failed or was retried. It
+// requestLog writes one line for each request that failed, was retried or late. It
 // never blocks a request: lines beyond its rate are dropped and counted.
 type requestLog struct {
 	lines chan forward.Summary
@@ -66,10 +69,11 @@
 
 // RequestEnded implements forward.Observer.
 func (l *requestLog) RequestEnded(s forward.Summary) {
-	if s.Kind == "" && s.Status < 500 && s.Sends <= 1 {
+	if s.Kind == "" && s.Status < 500 && s.Sends <= 1 && !late(s) {
 		return
 	}
-	if l.remaining.Add(-1) < 0 {
+	left := l.remaining.Add(-1)
+	if left < 0 || left < lateReserve && s.Kind == "" && s.Status < 500 {
 		l.dropped.Add(1)
 		return
 	}
@@ -98,16 +102,29 @@
 	}
 }
 
+// late reports whether a response came after the latency objective of its route.
+func late(s forward.Summary) bool { return s.Objective > 0 && s.Took > s.Objective }
+
 func writeLine(s forward.Summary) {
 	event := "request_not_served"
 	if s.Kind == "" && s.Status < 500 {
 		event = "request_retried"
+		if late(s) {
+			event = "request_late"
+		}
 	}
 	entry := log.WithFields(log.Fields{
 		"event": event, "request": s.RequestID, "route": s.Route, "team": s.Team, "service": s.Service, "server": s.Server,
 		"via": s.Via, "kind": string(s.Kind), "outcome": string(s.Outcome), "status": s.Status, "sends": s.Sends,
 		"took_ms": s.Took.Milliseconds(), "config": s.Version,
 	})
+	if s.Sends > 0 {
+		// The belief at the time of the choice tells a bad choice from bad luck.
+		entry = entry.WithFields(log.Fields{
+			"waited_ms": s.Waited.Milliseconds(), "choice": string(s.Basis.Reason),
+			"failure_probability": math.Round(s.Basis.FailureProbability*1000) / 1000, "outcome_age_ms": s.Basis.OutcomeAge.Milliseconds(),
+		})
+	}
 	if s.Cause != nil {
 		entry = entry.WithField("cause", s.Cause.Error())
 	}
