Policy simulator, and an account of losses from logs

trefoilmeasure losses reads JSON logs and tells who was not served in time, by cause, route, belief and second.

--- a/cmd/trefoilmeasure/main.go
+++ b/cmd/trefoilmeasure/main.go
@@ -45,6 +45,10 @@
 	p.AttachSubcommand(demo, 1)
 	plot := newPlotCommand()
 	p.AttachSubcommand(plot.Subcommand, 1)
+	policy := newPolicyCommand()
+	p.AttachSubcommand(policy.Subcommand, 1)
+	lost := newLossesCommand()
+	p.AttachSubcommand(lost.Subcommand, 1)
 	if err := p.Parse(); err != nil {
 		fail(err)
 	}
@@ -54,6 +58,18 @@
 		}
 		return
 	}
+	if policy.Used {
+		if err := policy.run(os.Stdout); err != nil {
+			fail(err)
+		}
+		return
+	}
+	if lost.Used {
+		if err := lost.run(os.Stdout); err != nil {
+			fail(err)
+		}
+		return
+	}
 	if only != "" {
 		o.Only = strings.Split(only, ",")
 	}
--- a/internal/plots/draw.go
+++ b/internal/plots/draw.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"image/color"
 	"io"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -11,6 +12,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"trefoilstream.example/trefoilstream/internal/losses"
 )
 
 // Dimensions of a panel on the page.
@@ -62,6 +65,30 @@
 	return write(w, panels)
 }
 
+// DrawLosses plots the losses of each second, by what callers met.
+func DrawLosses(w io.Writer, a *losses.Account) error {
+	_, counts := a.Series(time.Second)
+	p := panel("Requests lost in each second", "requests", 0)
+	for i, e := range []losses.Effect{losses.Failed, losses.Held, losses.Refused, losses.Late} {
+		if counts[e] == nil {
+			continue
+		}
+		points := make(plotter.XYs, len(counts[e]))
+		for at, n := range counts[e] {
+			points[at] = plotter.XY{X: float64(at), Y: float64(n)}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("draw losses: %w", err)
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(string(e), line)
+	}
+	p.X.Label.Text = "seconds"
+	return write(w, []*plot.Plot{p})
+}
+
 // DrawSweep plots worth and the shares of requests served, refused and failed
 // over the number of instances.
 func DrawSweep(w io.Writer, sizes []SizeResult) error {
--- /dev/null
+++ b/internal/simulation/simulation_test.go
@@ -0,0 +1,89 @@
+package simulation
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"trefoilstream.example/trefoilstream/internal/dispatch"
+)
+
+const testLength = 20 * time.Second
+
+// Judges the policy on drawn days: the agreed bounds hold on each, and requests that
+// cannot be served are told before half of their latency objective has passed, on
+// average.
+func TestBoundsHoldOnDrawnDays(t *testing.T) {
+	for _, r := range PlayAll(1, 24, testLength, dispatch.DefaultPolicy(), nil) {
+		for _, b := range r.Breaches {
+			t.Errorf("seed %d: %s", r.Seed, b)
+		}
+		if r.Refusals > r.Requests/50 && r.Held() > 0.5 {
+			t.Errorf("seed %d: %d refusals after %.2f latency objectives on average, want at most 0.5", r.Seed, r.Refusals, r.Held())
+		}
+		if r.Requests == 0 || r.Earned == 0 {
+			t.Errorf("seed %d: %d requests, %.1f earned", r.Seed, r.Requests, r.Earned)
+		}
+	}
+}
+
+// Guards against an audit that sees nothing: without the mechanism that keeps a bound,
+// drawn days must breach it.
+func TestAuditFindsBreaches(t *testing.T) {
+	find := func(what string, change func(*dispatch.Policy)) {
+		p := dispatch.DefaultPolicy()
+		change(&p)
+		for _, r := range PlayAll(1, 24, testLength, p, nil) {
+			if len(r.Breaches) > 0 {
+				return
+			}
+		}
+		t.Errorf("no breach on 24 days %s", what)
+	}
+	find("with cold servers unprotected", func(p *dispatch.Policy) { p.Admission.ColdFactor = 1e9 })
+	find("without tests for the floor", func(p *dispatch.Policy) { p.Floor.ExploreAfter = never })
+}
+
+// Guards against results that depend on more than seed and policy.
+func TestDayRepeats(t *testing.T) {
+	play := func() *Result {
+		r := Play(Draw(7, testLength), dispatch.DefaultPolicy())
+		r.DispatchTime = 0
+		return r
+	}
+	if a, b := play(), play(); !reflect.DeepEqual(a, b) {
+		t.Errorf("two plays of one seed differ:\n%+v\n%+v", a, b)
+	}
+}
+
+// grayDay is a day without disruptions on which servers turn bad by themselves and
+// reset connections, with more bookings than lookups.
+func grayDay(seed uint64) Environment {
+	return Environment{
+		Seed: seed, Length: 30 * time.Second, Servers: 24, Slots: 6, Queue: 24, Work: 300 * time.Millisecond, WorkSpread: 0.3, Rate: 140, Swing: 0.1,
+		Repeatable: 0.25, Objective: 1200 * time.Millisecond, Deadline: 3 * time.Second, Bad: 0.3, BadFails: 0.85, BadFor: 3 * time.Second, BadManner: Resets,
+		ApplicationFailures: 0.01, ColdStart: 3 * time.Second, ColdRate: 10,
+	}
+}
+
+// Judges what the order of evidence, prompt failures and canaries are for: of the
+// bookings that fail at servers that turned bad, they spare a third at least.
+func TestGrayServersCostFewBookings(t *testing.T) {
+	old := dispatch.DefaultPolicy()
+	for _, name := range []string{"no-order", "no-prompt", "no-canaries"} {
+		v, _ := FindVariant(name)
+		v.Change(&old)
+	}
+	failed := func(p dispatch.Policy) (n int) {
+		for seed := uint64(1); seed <= 6; seed++ {
+			r := Play(grayDay(seed), p)
+			n += r.Failed - r.ApplicationFailures
+		}
+		return n
+	}
+	before, after := failed(old), failed(dispatch.DefaultPolicy())
+	if 3*after > 2*before {
+		t.Errorf("%d requests failed at gray servers, %d without order, prompt failures and canaries; want at most two thirds", after, before)
+	}
+	t.Logf("%d requests failed at gray servers, %d without", after, before)
+}
