dispatch: most of a long queue no longer looks at each server

Change: what the free servers offer to any request (least probability of failure, a server to be tested, a suspect to be tried) is computed once until a permit is granted, and a request that can use none of it is passed over. Statistics of the route hang on the queued request.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -68,7 +68,7 @@
 	}
 	wait := p.queueWait(ahead, slots)
 	remaining := w.Deadline.Sub(now) - responseMargin
-	slack := time.Duration(d.policy.Admission.OverloadWaitShare * float64(w.route.Objective-d.stats(w.Route).meanServiceTime))
+	slack := time.Duration(d.policy.Admission.OverloadWaitShare * float64(w.route.Objective-w.stats.meanServiceTime))
 	if wait > remaining || p.utilisation(now, slots) > d.policy.Admission.OverloadLoad && wait > slack {
 		p.queue = slices.Delete(p.queue, position, position+1)
 		d.refuse(&w.PermitRequest, errkind.Overloaded, max(overloadRetryMin, wait/2),
@@ -87,7 +87,7 @@
 	ahead := 0
 	p.removeIf(func(w *queuedRequest) bool {
 		remaining := w.Deadline.Sub(now) - responseMargin
-		if remaining <= time.Duration(d.policy.Admission.MinTimeFactor*float64(d.stats(w.Route).meanServiceTime)) {
+		if remaining <= time.Duration(d.policy.Admission.MinTimeFactor*float64(w.stats.meanServiceTime)) {
 			d.refuse(&w.PermitRequest, errkind.DeadlineExceededQueued, 0, "%v left, %d in the queue for %.1f slots", remaining, len(p.queue), slots)
 			return true
 		}
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -58,20 +58,60 @@
 	OutcomeAge time.Duration
 }
 
+// offer is what the free servers offer to any request, until one of them gets a permit.
+// It spares most of a long queue a look at each server.
+type offer struct {
+	// minFailProb is the least probability of failure.
+	minFailProb float64
+	// exploredByFirst is set if a server is to be tested by the first attempt of a request
+	// that may be repeated, explored if it is by another one.
+	explored, exploredByFirst bool
+	// suspects is set if a suspect server may be tried.
+	suspects bool
+	// allFailing is as the method of that name, once a request has asked for it.
+	allFailing, allFailingKnown bool
+	// retryRoom is the unused share of the retry budget.
+	retryRoom float64
+}
+
+func (d *Dispatcher) offerOf(now time.Time, p *pool, free []candidate) offer {
+	o := offer{minFailProb: 1, retryRoom: p.retries.remaining(now, d.bounds, d.connectedShare)}
+	for i := range free {
+		c := &free[i]
+		o.minFailProb = min(o.minFailProb, c.failProb)
+		o.explored = o.explored || d.explores(now, p, false, c)
+		o.exploredByFirst = o.exploredByFirst || d.explores(now, p, true, c)
+		o.suspects = o.suspects || d.suspectReady(now, c)
+	}
+	return o
+}
+
+// suspectReady reports whether a suspect server may get a request that can be retried.
+func (d *Dispatcher) suspectReady(now time.Time, c *candidate) bool {
+	return c.failProb > d.policy.Choice.ToleratedLate && now.Sub(c.lastUsed) >= d.policy.Choice.LastResortPause
+}
+
 // choose returns the index of the server for a request and the reason, or -1 if the
 // request has to wait.
-func (d *Dispatcher) choose(now time.Time, p *pool, w *queuedRequest, free []candidate) (int, Reason) {
+func (d *Dispatcher) choose(now time.Time, p *pool, w *queuedRequest, free []candidate, o *offer) (int, Reason) {
 	best, bestCost, bestReason := -1, 0.0, Trusted
-	allowSuspects := d.mayTrySuspects(now, p, w)
-	weight := d.failureWeight(now, p, w)
-	crossing := d.policy.Choice.CrossDomainCost + d.policy.Choice.CrossByteCost*d.stats(w.Route).bytes
-	tolerated := d.tolerated(now, p, w)
+	allowSuspects := o.suspects && d.mayTrySuspects(now, w, o)
+	tolerated := d.tolerated(now, p, w, o)
+	explored := o.explored
+	if w.firstAttempt() {
+		explored = o.exploredByFirst
+	}
+	if o.minFailProb > tolerated && !explored && !allowSuspects {
+		return -1, Trusted
+	}
+	weight := d.failureWeight(p, w, o)
+	crossing := d.policy.Choice.CrossDomainCost + d.policy.Choice.CrossByteCost*w.stats.bytes
 	for i := range free {
 		c := &free[i]
 		if slices.Contains(w.ExcludedServers, c.ID) {
 			continue
 		}
-		explore := d.explores(now, p, w, c)
+		explore := d.explores(now, p, w.firstAttempt(), c)
 		reason := Trusted
 		switch {
 		case explore && c.untested:
@@ -81,7 +121,7 @@
 		case c.failProb <= d.policy.Belief.Trust:
 		case c.failProb <= tolerated:
 			reason = LateRequest
-		case allowSuspects && c.failProb > d.policy.Choice.ToleratedLate && now.Sub(c.lastUsed) >= d.policy.Choice.LastResortPause:
+		case allowSuspects && d.suspectReady(now, c):
 			reason = SuspectTried
 		default:
 			continue
@@ -112,12 +152,12 @@
 }
 
 // failureWeight returns the weight of the probability of failure for a request.
-func (d *Dispatcher) failureWeight(now time.Time, p *pool, w *queuedRequest) float64 {
+func (d *Dispatcher) failureWeight(p *pool, w *queuedRequest, o *offer) float64 {
 	c := &d.policy.Choice
 	switch {
-	case !w.route.Kind.Repeatable() || w.IsRetry:
+	case !w.firstAttempt():
 		return 1
-	case w.route.MaxAttempts <= 1 || p.retries.remaining(now, d.bounds, d.connectedShare) <= c.CanaryBudget:
+	case w.route.MaxAttempts <= 1 || o.retryRoom <= c.CanaryBudget:
 		return c.RepeatableWeight
 	default:
 		prompt := p.promptness.share()
@@ -130,30 +170,32 @@
 const maxIdleBonus = 2 * time.Second
 
 // tolerated returns the probability of failure that a request accepts.
-func (d *Dispatcher) tolerated(now time.Time, p *pool, w *queuedRequest) float64 {
+func (d *Dispatcher) tolerated(now time.Time, p *pool, w *queuedRequest, o *offer) float64 {
 	waited := now.Sub(w.ArrivedAt)
 	switch {
 	case waited < w.route.Objective/4:
 		return d.policy.Belief.Trust
 	case waited < w.route.Objective/2:
 		return d.policy.Choice.ToleratedSoon
-	case d.allFailing(now, p):
+	}
+	if !o.allFailingKnown {
+		o.allFailing, o.allFailingKnown = d.allFailing(now, p), true
+	}
+	if o.allFailing {
 		return 1
-	default:
-		return d.policy.Choice.ToleratedLate
 	}
+	return d.policy.Choice.ToleratedLate
 }
 
-// retryable reports whether another attempt is allowed after the first one failed.
-func (w *queuedRequest) retryable() bool {
-	return w.route.Kind.Repeatable() && !w.IsRetry && w.route.MaxAttempts > 1
-}
+// firstAttempt reports whether this is the first attempt of a request that may be
+// repeated.
+func (w *queuedRequest) firstAttempt() bool { return w.route.Kind.Repeatable() && !w.IsRetry }
 
 // mayTrySuspects reports whether the first attempt of a request may go to a server
 // that has failed recently.
-func (d *Dispatcher) mayTrySuspects(now time.Time, p *pool, w *queuedRequest) bool {
-	return w.retryable() &&
-		now.Sub(w.ArrivedAt) >= d.policy.Choice.SuspectWait && p.retries.remaining(now, d.bounds, d.connectedShare) > d.policy.Choice.SuspectBudget
+func (d *Dispatcher) mayTrySuspects(now time.Time, w *queuedRequest, o *offer) bool {
+	return w.firstAttempt() && w.route.MaxAttempts > 1 &&
+		now.Sub(w.ArrivedAt) >= d.policy.Choice.SuspectWait && o.retryRoom > d.policy.Choice.SuspectBudget
 }
 
 // allFailing reports whether every server of the service is more likely to fail
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -119,6 +119,7 @@
 type queuedRequest struct {
 	PermitRequest
 	route    *catalog.Route
+	stats    *routeStats
 	priority int
 	seq      uint64
 }
@@ -264,7 +265,7 @@
 // RequestPermit requests a permit. The decision may be returned later, by any
 // method.
 func (d *Dispatcher) RequestPermit(now time.Time, req PermitRequest) []Decision {
-	w := &queuedRequest{PermitRequest: req, route: d.index.RouteByName(req.Route), seq: d.requestSeq}
+	w := &queuedRequest{PermitRequest: req, route: d.index.RouteByName(req.Route), stats: d.stats(req.Route), seq: d.requestSeq}
 	d.requestSeq++
 	switch {
 	case w.route == nil:
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -35,13 +35,14 @@
 }
 
 // explores reports whether a request tests an idle server: to meet the floor, or
-// to use a path that was just checked.
-func (d *Dispatcher) explores(now time.Time, p *pool, w *queuedRequest, c *candidate) bool {
+// to use a path that was just checked. firstAttempt is set for the first attempt of a
+// request that may be repeated.
+func (d *Dispatcher) explores(now time.Time, p *pool, firstAttempt bool, c *candidate) bool {
 	if !c.idle {
 		return false
 	}
 	limit, idleMax := d.policy.Floor.ExploreUnsafe, d.policy.Floor.MaxSteadyIdleUnsafe
-	if w.route.Kind.Repeatable() && !w.IsRetry {
+	if firstAttempt {
 		limit, idleMax = d.policy.Floor.ExploreRepeatable, 0
 	}
 	return c.untested || p.floorDeficit > 0 && c.failProb < limit ||
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -80,12 +80,13 @@
 		return
 	}
 	granted := 0
+	o := d.offerOf(now, p, free)
 	for _, i := range d.serveOrder(now, p) {
 		if len(free) == 0 {
 			break
 		}
 		w := p.queue[i]
-		at, reason := d.choose(now, p, w, free)
+		at, reason := d.choose(now, p, w, free, &o)
 		if at < 0 {
 			continue
 		}
@@ -101,6 +102,7 @@
 		} else {
 			free = slices.Delete(free, at, at+1)
 		}
+		o = d.offerOf(now, p, free)
 	}
 	if granted > 0 {
 		p.queue = slices.DeleteFunc(p.queue, func(w *queuedRequest) bool { return w == nil })
@@ -141,7 +143,7 @@
 
 // onTime reports whether a request can still meet its latency objective.
 func (d *Dispatcher) onTime(now time.Time, w *queuedRequest) bool {
-	return now.Sub(w.ArrivedAt)+d.stats(w.Route).meanServiceTime < w.route.Objective
+	return now.Sub(w.ArrivedAt)+w.stats.meanServiceTime < w.route.Objective
 }
 
 // minSlotWeight is the least weight of a slot of a suspect server, since the
