--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -153,6 +153,8 @@
 	// permitsCheckedAt is when the requests in flight were last checked.
 	permitsCheckedAt time.Time
 	transitions      []Transition
+	// shortfalls are the floor shortfalls that the caller has not fetched yet.
+	shortfalls []FloorShortfall
 	// checks are the path checks that the caller has not fetched yet.
 	checks           []PathCheck
 	pendingDecisions []Decision
@@ -321,6 +323,7 @@
 		}
 	}
 	d.checkPermits(now)
+	d.checkFloor(now)
 	return d.flush()
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -32,6 +32,8 @@
 	// steadyIdle is how many steady servers are idle.
 	steadyIdle     int
 	floorCheckedAt time.Time
+	// shortfallCheckedAt is when the servers without work were last counted.
+	shortfallCheckedAt time.Time
 	// orderBuf is the reused buffer of serveOrder.
 	orderBuf        []int
 	meanServiceTime time.Duration
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -73,6 +73,8 @@
 	// cachedFailProb is the belief at cachedAt.
 	cachedFailProb float64
 	cachedAt       time.Time
+	// knownSince is when this dispatcher first knew the server.
+	knownSince time.Time
 	// lastUsed is when a permit was last granted; zero if never.
 	lastUsed time.Time
 	// failedSentAt is when the last of the failed requests was sent.
@@ -202,7 +204,7 @@
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Incarnation != in.Incarnation || s.Service != in.Service {
-		fresh := &server{Server: in, policy: &d.policy.Belief, failProb: d.policy.Belief.Prior, failProbAt: now, coldRefilledAt: now, unreachableFrom: make(map[string]time.Time)}
+		fresh := &server{Server: in, policy: &d.policy.Belief, failProb: d.policy.Belief.Prior, failProbAt: now, knownSince: now, coldRefilledAt: now, unreachableFrom: make(map[string]time.Time)}
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -333,8 +333,10 @@
 			c.mu.Lock()
 			c.deliver(c.dispatcher.Tick(now))
 			transitions, checks := c.dispatcher.Transitions(), c.dispatcher.PathChecks()
+			shortfalls := c.dispatcher.FloorShortfalls()
 			c.mu.Unlock()
 			logTransitions(transitions)
+			logShortfalls(shortfalls)
 			for _, check := range checks {
 				go c.checkPaths(ctx, check)
 			}
@@ -342,20 +344,6 @@
 	}
 }
 
-// logTransitions logs each server that became suspect or trusted. Their number
-// is bounded by the outcomes reported in a tick.
-func logTransitions(transitions []dispatch.Transition) {
-	for _, t := range transitions {
-		event := "server_trusted"
-		if t.Suspected {
-			event = "server_suspected"
-		}
-		log.WithFields(log.Fields{
-			"event": event, "server": t.Server, "service": t.Service, "outcome": t.Outcome.String(), "probability": t.FailureProbability,
-		}).Info("health estimate of a backend server changed")
-	}
-}
-
 // heartbeatInterval returns the time between heartbeats for a number of members.
 func heartbeatInterval(members int) time.Duration {
 	return max(minHeartbeatInterval, time.Duration(members)*heartbeatPerMember)
--- /dev/null
+++ b/internal/fleet/serverlog.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"github.com/apex/log"
+
+	"trefoilstream.example/trefoilstream/internal/dispatch"
+)
+
+// logTransitions logs each server that became suspect or trusted. Their number
+// is bounded by the outcomes reported in a tick.
+func logTransitions(transitions []dispatch.Transition) {
+	for _, t := range transitions {
+		event := "server_trusted"
+		if t.Suspected {
+			event = "server_suspected"
+		}
+		log.WithFields(log.Fields{
+			"event": event, "server": t.Server, "service": t.Service, "outcome": t.Outcome.String(), "probability": t.FailureProbability,
+		}).Info("health estimate of a backend server changed")
+	}
+}
+
+// logShortfalls logs each service whose healthy servers got less work than the
+// floor requires.
+func logShortfalls(shortfalls []dispatch.FloorShortfall) {
+	for _, f := range shortfalls {
+		log.WithFields(log.Fields{
+			"event": "floor_missed", "service": f.Service, "steady": f.Steady, "used": f.Used, "required": f.Required,
+			"queued": f.Queued, "idle": f.Idle,
+		}).Warn("steady backend servers got no work for two seconds")
+	}
+}
