dispatch: a successor knows when each server failed last

Cause: a coordinator hands its successor the probability of failure of each suspect server, but not when the server failed last; the successor took "now" for it. State that a decision rests on was lost with the coordinator.

Change: a suspicion carries the time since the last failure, also of servers that are not steady yet, and beliefs are restored as of the time at which they were received. Why it works: the successor's clock of each server goes on where its predecessor's stood.

--- a/internal/dispatch/floor_test.go
+++ b/internal/dispatch/floor_test.go
@@ -96,3 +96,43 @@
 		f.done(p, Served)
 	}
 }
+
+// Guards against a change of coordinator after which servers that have recovered get no
+// work, since the time without a failure begins anew for each of them.
+func TestSuccessorGivesRecoveredServersWork(t *testing.T) {
+	f := newFixture(t, 60)
+	last := make(map[string]time.Time)
+	var running []*Permit
+	start := f.now
+	run := func(until time.Duration) {
+		for f.now.Sub(start) < until {
+			f.now = f.now.Add(10 * time.Millisecond)
+			if len(running) >= 20 {
+				o := Served
+				if f.now.Sub(start) < time.Second && running[0].Server.ID < "s30" {
+					o = Failed
+				}
+				f.done(running[0], o)
+				running = running[1:]
+			}
+			p := f.permit("book")
+			last[p.Server.ID] = f.now
+			running = append(running, p)
+		}
+	}
+	run(5 * time.Second)
+	suspicions := f.d.Suspicions(f.now)
+	successor := newFixture(t, 60)
+	f.d, running = successor.d, nil
+	f.d.RestoreSuspicions(f.now, suspicions)
+	run(10 * time.Second)
+	idle := 0
+	for i := range 60 {
+		if f.now.Sub(last[fmt.Sprintf("s%02d", i)]) > 2*time.Second {
+			idle++
+		}
+	}
+	if idle > 2 {
+		t.Errorf("%d of 60 servers that have not failed for 9 s had no work in two seconds, want at most 2", idle)
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -272,30 +272,41 @@
 type Suspicion struct {
 	Server             string
 	FailureProbability float64
+	// SinceFailure is the time since a request last failed; negative if none has.
+	SinceFailure time.Duration
 }
 
-// Suspicions returns the servers whose belief differs from the prior.
+// Suspicions returns the servers whose belief differs from the prior, and those that
+// are not steady.
 func (d *Dispatcher) Suspicions(now time.Time) []Suspicion {
 	var out []Suspicion
 	for id, s := range d.servers {
-		if b := s.failureProbability(now); math.Abs(b-d.policy.Belief.Prior) > 0.1 {
-			out = append(out, Suspicion{Server: id, FailureProbability: b})
+		b := s.failureProbability(now)
+		if math.Abs(b-d.policy.Belief.Prior) <= 0.1 && d.steady(now, s) {
+			continue
 		}
+		x := Suspicion{Server: id, FailureProbability: b, SinceFailure: -1}
+		if !s.lastFailed.IsZero() {
+			x.SinceFailure = now.Sub(s.lastFailed)
+		}
+		out = append(out, x)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
 	return out
 }
 
-// RestoreSuspicions takes over the beliefs of the previous coordinator.
-func (d *Dispatcher) RestoreSuspicions(now time.Time, in []Suspicion) {
+// RestoreSuspicions takes over the beliefs that the previous coordinator held at a
+// time. They include when each server failed last: a server would not count as
+// healthy or steady, and stay without work, if that time began anew.
+func (d *Dispatcher) RestoreSuspicions(at time.Time, in []Suspicion) {
 	for _, x := range in {
-		if s := d.servers[x.Server]; s != nil {
-			s.failProb, s.failProbAt, s.cachedAt = x.FailureProbability, now, time.Time{}
-			if x.FailureProbability > d.policy.Belief.Trust {
-				// The time of its last failure is unknown, so it does not count as healthy
-				// or steady before it has been tested.
-				s.lastFailed = now
-			}
+		s := d.servers[x.Server]
+		if s == nil {
+			continue
+		}
+		s.failProb, s.failProbAt, s.cachedAt = x.FailureProbability, at, time.Time{}
+		if x.SinceFailure >= 0 {
+			s.lastFailed = at.Add(-x.SinceFailure)
 		}
 	}
 }
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -118,7 +118,7 @@
 		out = append(out, name)
 	}
 	c.dispatcher.SetDomainsOut(now, out)
-	c.dispatcher.RestoreSuspicions(now, r.suspicions)
+	c.dispatcher.RestoreSuspicions(r.suspectedAt, r.suspicions)
 	for address := range r.roster {
 		c.unreachable[address], c.disconnected[address] = now, now
 	}
@@ -391,7 +391,7 @@
 	}
 	var out []*peerpb.Suspicion
 	for _, s := range c.dispatcher.Suspicions(now) {
-		out = append(out, &peerpb.Suspicion{Server: s.Server, Probability: float32(s.FailureProbability)})
+		out = append(out, suspicionToProto(s))
 	}
 	if len(out) == 0 {
 		return nil
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -33,6 +33,8 @@
 	domainsOut map[string]bool
 	roster     map[string]Peer
 	suspicions []dispatch.Suspicion
+	// suspectedAt is when the suspicions were received.
+	suspectedAt time.Time
 }
 
 func newReplica() *replica {
@@ -155,9 +157,9 @@
 		}
 	}
 	if len(s.Suspicions) > 0 {
-		m.suspicions = m.suspicions[:0]
+		m.suspicions, m.suspectedAt = m.suspicions[:0], now
 		for _, suspicion := range s.Suspicions {
-			m.suspicions = append(m.suspicions, dispatch.Suspicion{Server: suspicion.Server, FailureProbability: float64(suspicion.Probability)})
+			m.suspicions = append(m.suspicions, suspicionFromProto(suspicion))
 		}
 	}
 	return nil
@@ -208,6 +210,21 @@
 	}
 }
 
+func suspicionToProto(s dispatch.Suspicion) *peerpb.Suspicion {
+	out := &peerpb.Suspicion{Server: s.Server, Probability: float32(s.FailureProbability)}
+	if s.SinceFailure >= 0 {
+		out.SinceFailureMs = uint32(s.SinceFailure.Milliseconds()) + 1
+	}
+	return out
+}
+
+func suspicionFromProto(s *peerpb.Suspicion) dispatch.Suspicion {
+	return dispatch.Suspicion{
+		Server: s.Server, FailureProbability: float64(s.Probability),
+		SinceFailure: time.Duration(s.SinceFailureMs)*time.Millisecond - time.Millisecond,
+	}
+}
+
 func encodeConfig(c *catalog.Config) ([]byte, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.BestSpeed)
--- a/internal/fleet/standby_test.go
+++ b/internal/fleet/standby_test.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/election"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 )
@@ -90,3 +92,25 @@
 		t.Errorf("roster %v, want y:1 and z:1", roster)
 	}
 }
+
+// Guards against a standby that takes over with the time of each server's last failure
+// lost on the way: it would leave servers that have recovered without work.
+func TestStandbyKnowsWhenServersFailed(t *testing.T) {
+	sent := []dispatch.Suspicion{
+		{Server: "failed", FailureProbability: 0.5, SinceFailure: 4200 * time.Millisecond},
+		{Server: "failed-now", FailureProbability: 0.75},
+		{Server: "doubted", FailureProbability: 0.5, SinceFailure: -time.Millisecond},
+	}
+	state := &peerpb.FleetState{}
+	for _, s := range sent {
+		state.Suspicions = append(state.Suspicions, suspicionToProto(s))
+	}
+	standby := newReplica()
+	received := time.Unix(1000, 0)
+	if err := standby.apply(state, received); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(standby.suspicions, sent) || !standby.suspectedAt.Equal(received) {
+		t.Errorf("received %+v at %v, want %+v at %v", standby.suspicions, standby.suspectedAt, sent, received)
+	}
+}
