fleet: a successor is not older than its members

Cause, found by reading and shown by tests: nothing told a new coordinator that it was behind. The predecessor may be lost after it sent a change to some members only, or before it read one. The successor then granted permits by the older configuration until its own first read of the store returned, which takes as long as the store is slow, cut off or away; members that had the change saw their requests handled by the older one again.

Change: a member whose configuration is newer than the complete state it gets when it attaches sends it to the coordinator before its requests; and a coordinator reads the operators' topic, directly and through three others, for 250 ms at most before it accepts members. Why it works: a successor is then at least as new as each of its members, and as the store where it answers in time.

Tests: TestSuccessorIsNotOlderThanItsMembers and TestSuccessorReadsTheConfigurationFirst; both fail with the two calls taken out (a request of a member with version 2 goes where version 1 says; the first permit of the successor too).

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -55,6 +55,7 @@
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
+	reader     *storeReader
 	sessions   map[string]*memberSession
 	// unreachable maps the addresses of lost members that may still be running,
 	// e.g. behind a partition, to the time of the loss. A member whose
@@ -74,6 +75,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := f.newCoordinator(cancel)
+	c.reader.readOperatorFirst(ctx)
 	f.mu.Lock()
 	f.coordinator = c
 	f.followedCoordinator = f.opts.Self.Address
@@ -102,6 +104,7 @@
 		disconnected: make(map[string]time.Time), startedAt: now, rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
+	c.reader = newStoreReader(c)
 	r := f.replica
 	if x := r.index.Load(); x != nil {
 		c.dispatcher.SetConfig(now, x.Config)
@@ -227,12 +230,29 @@
 		}))
 	case m.Withdraw != 0:
 		c.dispatcher.Withdraw(session.peer.Address, m.Withdraw)
+	case len(m.Config) > 0:
+		c.adoptConfig(now, session, m.Config)
 	case m.Leaving:
 		session.leaving = true
 		c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, true)
 	}
 }
 
+// adoptConfig puts a member's configuration in force if it is newer. The caller
+// holds mu.
+func (c *coordinator) adoptConfig(now time.Time, session *memberSession, encoded []byte) {
+	config, err := decodeConfig(encoded)
+	if err != nil {
+		log.WithFields(log.Fields{"event": "config_not_adopted", "member": session.peer.Name}).WithError(err).Error("configuration of a member not readable")
+		return
+	}
+	delta := &peerpb.FleetState{}
+	c.applyConfig(now, config, delta)
+	if len(delta.Config) > 0 {
+		c.broadcast(delta)
+	}
+}
+
 func permitRequestFromProto(now time.Time, p Peer, ask *peerpb.Ask) dispatch.PermitRequest {
 	return dispatch.PermitRequest{
 		Member: p.Address, Number: ask.Number, Domain: p.Domain, Route: ask.Route, Team: ask.Team, Service: ask.Service,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -29,6 +29,8 @@
 	// silentInstances get no response, only a timeout.
 	silentInstances map[string]bool
 	callsByInstance map[string]int
+	// operatorDelay is how long a read of the operators' topic takes.
+	operatorDelay time.Duration
 }
 
 var errRefused = errors.New("refused by the store")
@@ -60,6 +62,10 @@
 	if _, _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
 		return nil, from, err
 	}
+	s.mu.Lock()
+	delay := s.operatorDelay
+	s.mu.Unlock()
+	sleep(ctx, delay)
 	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		config, version := s.config, s.version
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -341,6 +341,9 @@
 			if m.State == nil || !m.State.Complete {
 				return errors.New("first message of the coordinator does not hold the complete state")
 			}
+			if err := f.sendNewerConfig(toCoordinator, m.State.ConfigVersion); err != nil {
+				return fmt.Errorf("attached to %s: %w", address, err)
+			}
 			w.setTimeout(maxMissedHeartbeats * heartbeatInterval(len(m.State.Roster)))
 			f.setFollowedCoordinator(address)
 			f.member.setCoordinator(toCoordinator)
@@ -357,6 +360,19 @@
 	}
 }
 
+// sendNewerConfig sends this instance's configuration to a coordinator whose own is
+// older, as that of a successor may be.
+func (f *Fleet) sendNewerConfig(toCoordinator coordinatorSender, version uint64) error {
+	if f.replica.configVersion() <= version {
+		return nil
+	}
+	encoded, err := f.replica.encodedConfig()
+	if err != nil {
+		return err
+	}
+	return toCoordinator.send(&peerpb.MemberMessage{Config: encoded})
+}
+
 func (f *Fleet) detach() {
 	f.member.clearCoordinator()
 	f.setFollowedCoordinator("")
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -23,6 +23,9 @@
 	// minReadRetryDelay and maxReadRetryDelay bound the backoff after failed reads.
 	minReadRetryDelay = 50 * time.Millisecond
 	maxReadRetryDelay = 500 * time.Millisecond
+	// firstReadTimeout bounds the read before a coordinator accepts members, which
+	// all wait for it.
+	firstReadTimeout = 250 * time.Millisecond
 )
 
 // hedgedReads is the number of other instances that read the directory in
@@ -34,6 +37,8 @@
 // to this instance, other instances relay the calls.
 type storeReader struct {
 	coordinator *coordinator
+	// operatorOffset is where the next read of the operators' topic starts.
+	operatorOffset int64
 
 	mu sync.Mutex
 	// relay is the address of the instance that relays calls; "" means calls
@@ -45,8 +50,12 @@
 	relayChanged chan struct{}
 }
 
+func newStoreReader(c *coordinator) *storeReader {
+	return &storeReader{coordinator: c, operatorOffset: -1, relayChanged: make(chan struct{})}
+}
+
 func (c *coordinator) readStore(ctx context.Context) {
-	r := &storeReader{coordinator: c, relayChanged: make(chan struct{})}
+	r := c.reader
 	var wg sync.WaitGroup
 	wg.Go(func() { r.pollOperator(ctx) })
 	wg.Go(func() { r.pollDirectory(ctx) })
@@ -68,27 +77,34 @@
 	}
 }
 
-// directoryRead is the result of a read of the directory.
-type directoryRead struct {
+// topicRead is the result of a read of a topic.
+type topicRead struct {
 	relay   string
 	changes []catalog.Change
 	next    int64
 	err     error
 }
 
-// readDirectoryHedged reads the directory through several instances in parallel
-// and returns the first success, or the last failure.
-func (r *storeReader) readDirectoryHedged(ctx context.Context, relays []string, offset int64) directoryRead {
+// readDirectoryHedged reads the directory through several instances in parallel.
+func (r *storeReader) readDirectoryHedged(ctx context.Context, relays []string, offset int64) topicRead {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	results := make(chan directoryRead, len(relays))
+	return r.readHedged(callCtx, relays, func(ctx context.Context, call StoreCaller) ([]catalog.Change, int64, error) {
+		return r.coordinator.fleet.opts.Source.Servers(ctx, call, offset)
+	})
+}
+
+// readHedged makes a read through several instances in parallel and returns the
+// first success, or the last failure.
+func (r *storeReader) readHedged(ctx context.Context, relays []string, read func(context.Context, StoreCaller) ([]catalog.Change, int64, error)) topicRead {
+	results := make(chan topicRead, len(relays))
 	for _, relay := range relays {
 		go func() {
-			changes, next, err := r.coordinator.fleet.opts.Source.Servers(callCtx, r.callerVia(relay), offset)
-			results <- directoryRead{relay: relay, changes: changes, next: next, err: err}
+			changes, next, err := read(ctx, r.callerVia(relay))
+			results <- topicRead{relay: relay, changes: changes, next: next, err: err}
 		}()
 	}
-	var last directoryRead
+	var last topicRead
 	for range relays {
 		if last = <-results; last.err == nil {
 			return last
@@ -109,8 +125,24 @@
 	return append(r.coordinator.sampleRelays(hedgedReads), "")
 }
 
+// readOperatorFirst reads what operators have published before this coordinator
+// accepts members: its predecessor may have been lost before a change was sent to this
+// instance. If no read succeeds within firstReadTimeout, it goes on with what is known.
+func (r *storeReader) readOperatorFirst(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, firstReadTimeout)
+	defer cancel()
+	read := r.readHedged(callCtx, append(r.coordinator.sampleRoster(hedgedReads), ""), func(ctx context.Context, call StoreCaller) ([]catalog.Change, int64, error) {
+		return r.coordinator.fleet.opts.Source.Operator(ctx, call, -1, 0)
+	})
+	if read.err != nil {
+		log.WithField("event", "store_unavailable").WithError(read.err).Warn("could not read the operators' changes before the first permit")
+		return
+	}
+	r.operatorOffset = read.next
+	r.coordinator.applyChanges(read.changes)
+}
+
 func (r *storeReader) pollOperator(ctx context.Context) {
-	offset := int64(-1)
 	for ctx.Err() == nil {
 		relay, caller, changed := r.currentCaller()
 		wait := operatorPollWait
@@ -123,7 +155,7 @@
 			case <-stop:
 			}
 		}()
-		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, offset, wait)
+		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, r.operatorOffset, wait)
 		close(stop)
 		cancel()
 		if err != nil {
@@ -132,7 +164,7 @@
 			}
 			continue
 		}
-		offset = next
+		r.operatorOffset = next
 		r.coordinator.applyChanges(changes)
 	}
 }
@@ -205,6 +237,18 @@
 	return candidates[:min(n, len(candidates))]
 }
 
+// sampleRoster returns up to n random instances of the roster other than this one.
+// They may relay calls before they are members.
+func (c *coordinator) sampleRoster(n int) []string {
+	peers := c.fleet.replica.rosterWithout(c.fleet.opts.Self.Address)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	out := make([]string, 0, n)
+	for _, p := range peers[:min(n, len(peers))] {
+		out = append(out, p.Address)
+	}
+	return out
+}
+
 // writeRecord writes the coordinator record to the store, so that starting
 // instances find this coordinator. A coordinator that claimed its record at start
 // writes it twice, which is harmless.
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -73,6 +73,14 @@
 	return encoded, nil
 }
 
+// configVersion returns the version of the configuration in force, or 0.
+func (m *replica) configVersion() uint64 {
+	if index := m.index.Load(); index != nil {
+		return index.Config.Version
+	}
+	return 0
+}
+
 // rosterWithout returns the roster except for one instance, sorted by address.
 func (m *replica) rosterWithout(address string) []Peer {
 	m.mu.Lock()
@@ -168,7 +176,7 @@
 // completeState returns a message with the whole state except for the backend
 // servers and suspicions.
 func (m *replica) completeState() (*peerpb.FleetState, error) {
-	s := &peerpb.FleetState{Complete: true, HasDomainsOut: true, HasRoster: true}
+	s := &peerpb.FleetState{Complete: true, HasDomainsOut: true, HasRoster: true, ConfigVersion: m.configVersion()}
 	encoded, err := m.encodedConfig()
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/fleet/succession_test.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/election"
+)
+
+// movedConfig is version 2 of the test configuration, which routes requests to
+// another service.
+func movedConfig() *catalog.Config {
+	c := testConfig(2)
+	c.Routes[0].Services = []catalog.Share{{Service: "moved", Weight: 1}}
+	c.Services["moved"] = catalog.Service{Name: "moved"}
+	return c
+}
+
+// newFleetWithMovedServers returns a fleet that is ready, with a server of the service
+// to which movedConfig routes, and the indexes of its coordinator and of the instances
+// that succeed it, in their order.
+func newFleetWithMovedServers(t *testing.T, n int) (fleet *testFleet, coordinator int, successors []int) {
+	fleet = newTestFleet(t, n)
+	fleet.store.mu.Lock()
+	fleet.store.servers["moved"] = catalog.Server{ID: "moved", Service: "moved", Address: "127.0.0.1:1", Domain: "a", Slots: 8}
+	fleet.store.mu.Unlock()
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator = fleet.coordinators(-1)[0]
+	byAddress := make(map[string]int)
+	var peers []Peer
+	for i, f := range fleet.instances {
+		byAddress[f.opts.Self.Address] = i
+		if i != coordinator {
+			peers = append(peers, f.opts.Self)
+		}
+	}
+	for _, p := range election.SuccessionOrder(peers) {
+		successors = append(successors, byAddress[p.Address])
+	}
+	eventually(t, "the members hold the servers", func() bool { return len(fleet.instancesWithServers(coordinator)) == n-1 })
+	eventually(t, "the members hold the server of the other service", func() bool {
+		for _, i := range successors {
+			r := fleet.instances[i].replica
+			r.mu.Lock()
+			_, ok := r.servers["moved"]
+			r.mu.Unlock()
+			if !ok {
+				return false
+			}
+		}
+		return true
+	})
+	return fleet, coordinator, successors
+}
+
+func (fleet *testFleet) setStoreSilent(silent bool) {
+	fleet.store.mu.Lock()
+	defer fleet.store.mu.Unlock()
+	for i := range fleet.instances {
+		fleet.store.silentInstances[fmt.Sprint(i)] = silent
+	}
+}
+
+// Guards against a configuration that comes back older: the coordinator is lost after
+// it sent a change to some members but not to its successor, while the store is away.
+func TestSuccessorIsNotOlderThanItsMembers(t *testing.T) {
+	fleet, coordinator, successors := newFleetWithMovedServers(t, 4)
+	fleet.setStoreSilent(true)
+	member := fleet.instances[successors[2]]
+	member.replica.setConfig(movedConfig())
+	fleet.stops[coordinator]()
+	eventually(t, "a successor", func() bool { return fleet.ready(coordinator) })
+	p, err := acquire(member, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Service != "moved" {
+		t.Errorf("a request of a member with version 2 goes to service %q, as version 1 says", p.Service)
+	}
+	eventually(t, "version 2 is in force at all that are left", func() bool {
+		for _, i := range successors {
+			if fleet.instances[i].replica.configVersion() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a successor that grants permits by the configuration that it held as a
+// member before it has read the one that operators published meanwhile.
+func TestSuccessorReadsTheConfigurationFirst(t *testing.T) {
+	fleet, coordinator, successors := newFleetWithMovedServers(t, 4)
+	fleet.store.mu.Lock()
+	// Reads that start before the change is published return it as well.
+	fleet.store.operatorDelay = firstReadTimeout / 3
+	fleet.store.mu.Unlock()
+	fleet.stops[coordinator]()
+	eventually(t, "the coordinator has ended", func() bool {
+		f := fleet.instances[coordinator]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.coordinator == nil
+	})
+	fleet.store.mu.Lock()
+	fleet.store.config, fleet.store.version = movedConfig(), 2
+	fleet.store.mu.Unlock()
+	p, err := acquire(fleet.instances[successors[2]], 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Service != "moved" {
+		t.Errorf("the successor's first permit is for service %q, as version 1 says", p.Service)
+	}
+}
