forward: no refusal by a configuration that may be outdated

Seen by the users: a route that had been added was not served (CONFIG).

Cause, found by reading and shown by tests: requests that need a permit wait while an instance has no coordinator, but 404 and 401 were decided by whatever configuration the instance still held, at once, however long it had lost its coordinator, or its coordinator the store. Two coordinators lost in a row take longer than a change has.

Change: coordinators tell members with each heartbeat how long ago they read the operators' topic. Why it works: only what is known to be current is refused for good.

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -179,7 +179,7 @@
 	for _, r := range running {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
 	}
-	c.send(session, &peerpb.CoordinatorMessage{State: state})
+	c.send(session, &peerpb.CoordinatorMessage{State: state, ConfigAgeMs: configAgeToProto(now, c.reader.configReadAt())})
 	c.updateConnectedShare(now)
 	return nil
 }
@@ -376,13 +376,14 @@
 		now := time.Now()
 		c.mu.Lock()
 		suspicions := c.suspicionUpdate(now, n)
+		configAge := configAgeToProto(now, c.reader.configReadAt())
 		var silent []*memberSession
 		for _, session := range c.sessions {
 			if now.Sub(session.lastSeen) > maxMissedHeartbeats*every && session.peer.Address != c.fleet.opts.Self.Address {
 				silent = append(silent, session)
 				continue
 			}
-			m := &peerpb.CoordinatorMessage{Beat: n}
+			m := &peerpb.CoordinatorMessage{Beat: n, ConfigAgeMs: configAge}
 			if session.standby {
 				m.State = suspicions
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,7 +99,10 @@
 	followedCoordinator string
 	// memberCount is the size of the last full roster from the coordinator.
 	memberCount int
-	leaving     bool
+	// configReadAt is when the followed coordinator last read the operators' topic, as
+	// far as this instance knows; zero if it does not.
+	configReadAt time.Time
+	leaving      bool
 }
 
 // New returns a Fleet that is not running yet.
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -166,6 +166,7 @@
 
 // handle processes a message from the coordinator.
 func (m *Member) handle(c *peerpb.CoordinatorMessage) error {
+	m.fleet.noteConfigAge(time.Now(), c)
 	if c.State != nil {
 		if err := m.fleet.replica.apply(c.State, time.Now()); err != nil {
 			return err
@@ -376,6 +377,9 @@
 func (f *Fleet) detach() {
 	f.member.clearCoordinator()
 	f.setFollowedCoordinator("")
+	f.mu.Lock()
+	f.configReadAt = time.Time{}
+	f.mu.Unlock()
 }
 
 // localCoordinator passes messages to the coordinator on this instance.
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -39,6 +40,8 @@
 	coordinator *coordinator
 	// operatorOffset is where the next read of the operators' topic starts.
 	operatorOffset int64
+	// operatorReadAt is when the operators' topic was last read; nil if never.
+	operatorReadAt atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// relay is the address of the instance that relays calls; "" means calls
@@ -140,6 +143,21 @@
 	}
 	r.operatorOffset = read.next
 	r.coordinator.applyChanges(read.changes)
+	r.recordOperatorRead()
+}
+
+// recordOperatorRead notes that all that operators published until now is known.
+func (r *storeReader) recordOperatorRead() {
+	now := time.Now()
+	r.operatorReadAt.Store(&now)
+}
+
+// configReadAt returns when the operators' topic was last read; zero if never.
+func (r *storeReader) configReadAt() time.Time {
+	if at := r.operatorReadAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 func (r *storeReader) pollOperator(ctx context.Context) {
@@ -166,6 +184,7 @@
 		}
 		r.operatorOffset = next
 		r.coordinator.applyChanges(changes)
+		r.recordOperatorRead()
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,7 @@
 // requests. *fleet.Fleet implements it.
 type Fleet interface {
 	Index() *catalog.Index
+	ConfigFreshness() fleet.Freshness
 	Acquire(ctx context.Context, r fleet.PermitRequest) (*fleet.Permit, error)
 	Send(ctx context.Context, p *fleet.Permit, j *sender.Job, reply sender.Reply) (dispatch.Outcome, error)
 	Release(p *fleet.Permit, o dispatch.Outcome, took time.Duration, bytes int64)
@@ -125,13 +126,7 @@
 func (h *Handler) Serve(ctx context.Context, in *ingress.Request, w *ingress.Response) {
 	r := &request{h: h, in: in, w: w, caller: h.dialect.ReadCaller(in.Header)}
 	r.summary.RequestID = r.caller.RequestID
-	if !h.awaitConfig(ctx, r.caller.Deadline) {
-		e := errkind.Errorf(errkind.StaleConfiguration, "no configuration is loaded yet")
-		e.RetryAfter = startRetryAfter
-		r.refuse(e)
-		return
-	}
-	if err := r.resolve(); err != nil {
+	if err := r.resolveCurrent(ctx); err != nil {
 		r.refuse(err)
 		return
 	}
@@ -142,31 +137,37 @@
 }
 
 const (
-	// startWait bounds how long a request waits for the first configuration
-	// of an instance that has just started. The wait takes at most
-	// 1/startWaitDivisor of the caller's timeout.
-	startWait        = time.Second
-	startWaitDivisor = 3
-	startPoll        = 10 * time.Millisecond
-	// startRetryAfter is the Retry-After of an instance that is still
-	// starting.
-	startRetryAfter = 300 * time.Millisecond
+	// configWait bounds how long a request waits for a configuration that can be
+	// confirmed, as on an instance that has just started or lost its coordinator. The
+	// wait takes at most 1/configWaitDivisor of the caller's timeout.
+	configWait        = time.Second
+	configWaitDivisor = 3
+	configPoll        = 10 * time.Millisecond
+	// configRetryAfter is the Retry-After of a request that waited in vain.
+	configRetryAfter = 300 * time.Millisecond
 )
 
-// awaitConfig waits until a configuration is loaded. It returns false if that
-// takes too long.
-func (h *Handler) awaitConfig(ctx context.Context, deadline time.Duration) bool {
-	wait := startWait
-	if deadline > 0 {
-		wait = min(wait, deadline/startWaitDivisor)
+// resolveCurrent resolves the request. It does not refuse a request by a configuration
+// that may be outdated: a change may have added its route or key. While the instance
+// has no configuration, or looks for a coordinator, the request waits.
+func (r *request) resolveCurrent(ctx context.Context) error {
+	wait := configWait
+	if r.caller.Deadline > 0 {
+		wait = min(wait, r.caller.Deadline/configWaitDivisor)
 	}
-	for until := time.Now().Add(wait); h.fleet.Index() == nil; {
-		if ctx.Err() != nil || time.Now().After(until) {
-			return false
+	for until := time.Now().Add(wait); ; time.Sleep(configPoll) {
+		freshness := r.h.fleet.ConfigFreshness()
+		err := r.resolve()
+		if err == nil || r.index != nil && freshness == fleet.ConfigCurrent {
+			return err
+		}
+		waits := r.index == nil || freshness == fleet.NoCoordinator
+		if !waits || ctx.Err() != nil || time.Now().After(until) {
+			e := errkind.Errorf(errkind.StaleConfiguration, "configuration %d cannot be confirmed: %w", r.summary.Version, err)
+			e.RetryAfter = configRetryAfter
+			return e
 		}
-		time.Sleep(startPoll)
 	}
-	return true
 }
 
 // resolve finds the route and the team in the active configuration.
@@ -251,7 +252,7 @@
 		return ctx.Err()
 	}
 	r.service = ""
-	return r.resolve()
+	return r.resolveCurrent(ctx)
 }
 
 // attempt sends the request once. It returns true if the request has ended.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -27,7 +27,12 @@
 
 // fakeFleet runs its steps in order, one per send.
 type fakeFleet struct {
-	index    *catalog.Index
+	index *catalog.Index
+	// freshness is asked before each look at the index; beforeLook, if set, may change
+	// both.
+	freshness  fleet.Freshness
+	beforeLook func(f *fakeFleet)
+
 	steps    []step
 	acquired []fleet.PermitRequest
 	refusal  error
@@ -38,6 +43,13 @@
 
 func (f *fakeFleet) Index() *catalog.Index { return f.index }
 
+func (f *fakeFleet) ConfigFreshness() fleet.Freshness {
+	if f.beforeLook != nil {
+		f.beforeLook(f)
+	}
+	return f.freshness
+}
+
 func (f *fakeFleet) Acquire(_ context.Context, r fleet.PermitRequest) (*fleet.Permit, error) {
 	f.acquired = append(f.acquired, r)
 	if f.refusal != nil || len(f.acquired) > len(f.steps) {
@@ -216,3 +228,46 @@
 		}
 	}
 }
+
+// Guards against a new route that is refused as unknown, or a new key, by an instance
+// that lost its coordinator before it learned of the change: the request waits until the
+// instance follows a coordinator again.
+func TestLostCoordinatorRefusesNoNewRoute(t *testing.T) {
+	for _, c := range []struct{ path, key string }{{"/new/x", "k"}, {"/b/x", "new"}, {"/b/x", ""}} {
+		looks := 0
+		f := &fakeFleet{freshness: fleet.NoCoordinator, steps: []step{{outcome: dispatch.Served, status: 200}}}
+		f.beforeLook = func(f *fakeFleet) {
+			if looks++; looks < 5 {
+				return
+			}
+			changed := *index().Config
+			changed.Version++
+			changed.Routes[0].Public = c.key == ""
+			changed.Routes = append(changed.Routes, catalog.Route{Name: "new", Host: "h", Prefix: "/new/", Kind: catalog.Safe, Services: changed.Routes[0].Services})
+			changed.Teams = []catalog.Team{{Name: "t", Keys: []string{"k", "new"}}}
+			f.index, f.freshness = catalog.NewIndex(&changed), fleet.ConfigCurrent
+		}
+		s, _ := serveOne(t, f, c.path, c.key)
+		if s.Status != 200 {
+			t.Errorf("%s with key %q: status %d, kind %q, want 200", c.path, c.key, s.Status, s.Kind)
+		}
+	}
+}
+
+// Guards against requests refused by an old configuration, and against ones held for
+// long, while no instance can read the store.
+func TestUnconfirmedConfigurationRefusesNothingForGood(t *testing.T) {
+	for _, c := range []struct{ path, key string }{{"/new/x", "k"}, {"/b/x", "new"}} {
+		s, took := serveOne(t, &fakeFleet{freshness: fleet.ConfigUnconfirmed}, c.path, c.key)
+		if s.Kind != errkind.StaleConfiguration || s.Status != http.StatusServiceUnavailable {
+			t.Errorf("%s with key %q: status %d, kind %q, want 503, stale_configuration", c.path, c.key, s.Status, s.Kind)
+		}
+		if took > configWait/2 {
+			t.Errorf("%s with key %q: refused after %v, want at once", c.path, c.key, took)
+		}
+	}
+	s, took := serveOne(t, &fakeFleet{freshness: fleet.NoCoordinator}, "/new/x", "k")
+	if s.Kind != errkind.StaleConfiguration || took < configWait/2 {
+		t.Errorf("without a coordinator: kind %q after %v, want stale_configuration after %v", s.Kind, took, configWait)
+	}
+}
