dispatch: the rate limit that a backend server names binds the fleet

Cause: nothing read the header. The choice of a server knew slots, and a rate for cold servers only.

Change: platform/ reads the limit from each response. The instance that sent the request tells the coordinator, which sends the server at most that rate, evenly, whatever the request is for (retries, tests, the floor), and counts only the slots that the limit lets work when it refuses for overload. A response without a limit, or a restart of the server, ends it. Each instance repeats what servers named to it when it attaches to a coordinator, before that one may send through it, so the limit outlasts each change of coordinator; the part of the fleet that a coordinator is connected to gets its share. A server that names less than 0.2/s gets one request in 5 s, or nobody would learn that it takes more again. The floor leaves out servers whose limit is below it.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -34,6 +34,10 @@
 	Signed bool
 	// NotRun means that the server did not run the request.
 	NotRun bool
+	// RateLimited means that the server takes no more than RateLimit requests per
+	// second from all instances together, until a response says otherwise.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -15,7 +15,7 @@
 func (d *Dispatcher) floorState(now time.Time, p *pool) (deficit, steadyIdle int) {
 	healthy, used := 0, 0
 	for _, s := range p.servers {
-		if s.Draining || s.domainOut || now.Before(s.pausedUntil) || now.Sub(s.lastFailed) < d.policy.Floor.HealthyAfter {
+		if s.Draining || s.domainOut || now.Before(s.pausedUntil) || now.Sub(s.lastFailed) < d.policy.Floor.HealthyAfter || d.limitedBelowFloor(s) {
 			continue
 		}
 		healthy++
@@ -29,6 +29,12 @@
 	return int(math.Ceil(d.bounds.FloorShare*float64(healthy))) - used, steadyIdle
 }
 
+// limitedBelowFloor reports whether the limit of a server does not even allow the one
+// request within FloorPolicy.Window that the floor asks for.
+func (d *Dispatcher) limitedBelowFloor(s *server) bool {
+	return s.limited && s.usableLimit()*d.policy.Floor.Window.Seconds() < 1
+}
+
 // steady reports whether a server has gone without a failure for SteadyAfter.
 func (d *Dispatcher) steady(now time.Time, s *server) bool {
 	return now.Sub(s.lastFailed) >= d.bounds.SteadyAfter
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -159,7 +159,7 @@
 	p := d.pool(service)
 	for _, s := range p.servers {
 		if !s.Draining && !s.domainOut && !now.Before(s.pausedUntil) {
-			n += float64(s.Slots) * max(minSlotWeight, 1-s.failureProbability(now))
+			n += s.usableSlots(p.meanServiceTime) * max(minSlotWeight, 1-s.failureProbability(now))
 		}
 	}
 	return n
@@ -175,9 +175,7 @@
 	d.permitSeq++
 	s.running++
 	s.lastUsed, s.untested = now, false
-	if now.Before(s.coldUntil) {
-		s.coldTokens--
-	}
+	s.recordPaced(now)
 	pm := &permit{
 		number: d.permitSeq, member: w.Member, server: s.ID, service: w.Service, via: d.sendingInstance(now, s, w.Member),
 		fingerprint: w.Fingerprint, route: w.Route, grantedAt: now, repeatable: w.route.Kind.Repeatable(),
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -92,11 +92,15 @@
 	// suspected is set if the last observation left the server suspect.
 	suspected bool
 	// pausedUntil is when the server may get requests again.
-	pausedUntil    time.Time
-	downPause      time.Duration
-	coldUntil      time.Time
-	coldTokens     float64
-	coldRefilledAt time.Time
+	pausedUntil time.Time
+	downPause   time.Duration
+	coldUntil   time.Time
+	coldPace    pace
+	// limited is set while the server names a rate limit; limit is in requests per
+	// second from all instances.
+	limited   bool
+	limit     float64
+	limitPace pace
 	// lastServed is when a response last arrived; zero if never.
 	lastServed time.Time
 	// unreachableFrom holds the instances that could not reach the server, with
@@ -182,29 +186,14 @@
 // probability of failure.
 func (d *Dispatcher) usable(now time.Time, s *server) bool {
 	return !s.Draining && !s.domainOut && s.running-s.overdue < s.Slots &&
-		!now.Before(s.pausedUntil) && d.hasColdToken(now, s)
-}
-
-// hasColdToken reports whether the rate limit of a cold server allows one more
-// request. It is true for servers that are not cold.
-func (d *Dispatcher) hasColdToken(now time.Time, s *server) bool {
-	if !now.Before(s.coldUntil) {
-		return true
-	}
-	service, ok := d.index.Config.Services[s.Service]
-	if !ok || service.ColdRate <= 0 {
-		return true
-	}
-	s.coldTokens = math.Min(1, s.coldTokens+now.Sub(s.coldRefilledAt).Seconds()*service.ColdRate*d.policy.Admission.ColdFactor*d.connectedShare)
-	s.coldRefilledAt = now
-	return s.coldTokens >= 1
+		!now.Before(s.pausedUntil) && d.paceAllows(now, s)
 }
 
 // SetServer adds or changes a backend server.
 func (d *Dispatcher) SetServer(now time.Time, in catalog.Server) []Decision {
 	s := d.servers[in.ID]
 	if s == nil || s.Incarnation != in.Incarnation || s.Service != in.Service {
-		fresh := &server{Server: in, policy: &d.policy.Belief, failProb: d.policy.Belief.Prior, failProbAt: now, knownSince: now, coldRefilledAt: now, unreachableFrom: make(map[string]time.Time)}
+		fresh := &server{Server: in, policy: &d.policy.Belief, failProb: d.policy.Belief.Prior, failProbAt: now, knownSince: now, coldPace: pace{refilledAt: now}, unreachableFrom: make(map[string]time.Time)}
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
--- a/internal/dispatch/shortfall.go
+++ b/internal/dispatch/shortfall.go
@@ -67,7 +67,7 @@
 func (d *Dispatcher) shortfall(now time.Time, service string, p *pool) FloorShortfall {
 	f := FloorShortfall{Service: service, Queued: len(p.queue)}
 	for _, s := range p.servers {
-		if s.Draining || s.domainOut || now.Sub(s.knownSince) < d.bounds.SteadyAfter || !d.steady(now, s) {
+		if s.Draining || s.domainOut || d.limitedBelowFloor(s) || now.Sub(s.knownSince) < d.bounds.SteadyAfter || !d.steady(now, s) {
 			continue
 		}
 		f.Steady++
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -151,7 +151,7 @@
 }
 
 // join adds a member and sends it the complete state.
-func (c *coordinator) join(session *memberSession, running []*peerpb.Running) error {
+func (c *coordinator) join(session *memberSession, hello *peerpb.MemberHello) error {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -176,7 +176,10 @@
 		state.Servers = c.fleet.replica.serversToProto(now)
 	}
 	c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, false)
-	for _, r := range running {
+	for _, l := range hello.GetLimits() {
+		c.setLimit(now, l)
+	}
+	for _, r := range hello.GetRunning() {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
 	}
 	c.send(session, &peerpb.CoordinatorMessage{State: state, ConfigAgeMs: configAgeToProto(now, c.reader.configReadAt())})
@@ -232,6 +235,8 @@
 		c.dispatcher.Withdraw(session.peer.Address, m.Withdraw)
 	case len(m.Config) > 0:
 		c.adoptConfig(now, session, m.Config)
+	case m.Limit != nil:
+		c.setLimit(now, m.Limit)
 	case m.Leaving:
 		session.leaving = true
 		c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, true)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,6 +109,9 @@
 func New(o Options) *Fleet {
 	f := &Fleet{opts: o, replica: newReplica(), peerConns: newConnPool()}
 	f.member = newMember(f)
+	if o.Sender != nil {
+		o.Sender.Observe(f.member.noteResponse)
+	}
 	return f
 }
 
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -79,6 +79,8 @@
 	pending       map[uint64]*pendingRequest
 	// running counts in-flight requests by backend server.
 	running map[string]uint32
+	// limits holds the rate limits that backend servers named to this instance.
+	limits map[string]namedLimit
 }
 
 type pendingRequest struct {
@@ -93,7 +95,7 @@
 }
 
 func newMember(f *Fleet) *Member {
-	return &Member{fleet: f, pending: make(map[uint64]*pendingRequest), running: make(map[string]uint32)}
+	return &Member{fleet: f, pending: make(map[uint64]*pendingRequest), running: make(map[string]uint32), limits: make(map[string]namedLimit)}
 }
 
 // Acquire waits for a permit. It returns a *Refused error if the coordinator
@@ -288,7 +290,7 @@
 func (m *Member) hello() *peerpb.MemberHello {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := &peerpb.MemberHello{Self: peerToProto(m.fleet.opts.Self)}
+	h := &peerpb.MemberHello{Self: peerToProto(m.fleet.opts.Self), Limits: m.limitsToProto(time.Now())}
 	for s, count := range m.running {
 		h.Running = append(h.Running, &peerpb.Running{Server: s, Count: count})
 	}
@@ -398,7 +400,7 @@
 // detaches the member.
 func (m *Member) attachLocal(ctx context.Context, c *coordinator) (detach func()) {
 	session := &memberSession{peer: m.fleet.opts.Self, outbox: make(chan *peerpb.CoordinatorMessage, memberQueueLength), close: func() {}}
-	if err := c.join(session, m.hello().Running); err != nil {
+	if err := c.join(session, m.hello()); err != nil {
 		log.WithField("event", "coordinator_not_joined").WithError(err).Error("could not join the coordinator on this instance")
 		return func() {}
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -62,7 +62,7 @@
 		peer: peerFromProto(first.Hello.Self), outbox: make(chan *peerpb.CoordinatorMessage, memberQueueLength),
 		close: func() { once.Do(func() { close(closed) }) },
 	}
-	if err := c.join(session, first.Hello.Running); err != nil {
+	if err := c.join(session, first.Hello); err != nil {
 		return err
 	}
 	received := make(chan error, 1)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -47,11 +47,17 @@
 type Sender struct {
 	client  *backend.Client
 	dialect dialect.Dialect
+	// observe is called with the head of each response.
+	observe func(server string, r dialect.ServerResponse)
 }
 
 // New returns a sender.
 func New(d dialect.Dialect) *Sender { return &Sender{client: backend.New(), dialect: d} }
 
+// Observe sets a function that is called with the head of each response of a server,
+// in the order in which they arrive from it. It must be set before the first request.
+func (s *Sender) Observe(f func(server string, r dialect.ServerResponse)) { s.observe = f }
+
 // Reach reports whether a connection to a backend server can be made. The
 // connection stays in the pool for the next request.
 func (s *Sender) Reach(ctx context.Context, address string) bool {
@@ -69,6 +75,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	meta := s.dialect.ReadResponse(resp.StatusCode, resp.Header)
+	if s.observe != nil && resp.StatusCode != http.StatusMisdirectedRequest {
+		s.observe(j.Server, meta)
+	}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		drain(resp.Body)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -22,7 +22,7 @@
 	h.Set("Left", r.Left.String())
 }
 func (testDialect) ReadResponse(_ int, h http.Header) dialect.ServerResponse {
-	return dialect.ServerResponse{RequestID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != ""}
+	return dialect.ServerResponse{RequestID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", RateLimited: h.Get("Limit") != ""}
 }
 
 // server responds to each request with raw bytes. It closes the connection
@@ -170,3 +170,29 @@
 		t.Errorf("outcome %d, %v", o, err)
 	}
 }
+
+// Guards against a rate limit that only some responses of a server tell: failures and
+// refusals carry it as well. A response of another server says nothing about this one.
+func TestEachResponseOfTheServerIsObserved(t *testing.T) {
+	for _, c := range []struct {
+		head string
+		want int
+	}{
+		{"HTTP/1.1 200 OK\r\nSig: x\r\n", 1},
+		{"HTTP/1.1 500 X\r\nSig: x\r\n", 1},
+		{"HTTP/1.1 503 X\r\nNot-Run: 1\r\n", 1},
+		{"HTTP/1.1 421 X\r\n", 0},
+	} {
+		address, _ := server(t, func(int, string) []byte { return []byte(c.head + "Limit: 1\r\nContent-Length: 0\r\n\r\n") })
+		s := New(testDialect{})
+		observed := 0
+		s.Observe(func(name string, r dialect.ServerResponse) {
+			if name == "s" && r.RateLimited {
+				observed++
+			}
+		})
+		if _, _, _ = run(s, address, "1", nil); observed != c.want {
+			t.Errorf("%q: observed %d times, want %d", c.head, observed, c.want)
+		}
+	}
+}
