backend: a response without a request's ID proves nothing on a kept connection

Reported by operators of other systems: a backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran or were running, or these ran twice.

Here: a response that repeats the ID of the earlier request is discarded already. One without an ID was taken for the response to the request that is running: its refusal was passed on, or the request sent to another server. Cause: an absent ID counted as a match, on any connection. Class: a proof accepted from evidence that may belong to something else.

Change: on a connection that served a request before, a response without an ID ends the connection, and the request counts as one that may have run. On a new connection there is no earlier request, so it is taken as before.

Test: TestRepeatedRefusalIsNotTakenForThisRequest, with 503, 421 and 429; on the code before, the three cases without an ID were reported as shed and misdirected.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -53,6 +53,7 @@
 	// broken connection: it has neither a Content-Length nor chunked encoding.
 	ErrNoLength       = errors.New("response has no length")
 	errOtherRequest   = errors.New("response belongs to another request")
+	errUnknownRequest = errors.New("response does not say to which request it belongs")
 	errHeaderTooLarge = errors.New("response headers are too large")
 )
 
@@ -72,11 +73,24 @@
 	// UntilClose accepts a response whose end is the end of its connection.
 	// A connection reset still counts as a truncated response.
 	UntilClose bool
-	// Match, if set, reports whether a response belongs to the request. Other
-	// responses are read and discarded.
-	Match func(status int, h http.Header) bool
+	// Match, if set, says to which request a response belongs.
+	Match func(h http.Header) Match
 }
 
+// Match says to which request of a connection a response belongs.
+type Match uint8
+
+const (
+	// ThisRequest is the one that was sent last.
+	ThisRequest Match = iota
+	// OtherRequest is an earlier one. The response is read and discarded.
+	OtherRequest
+	// UnknownRequest means that the response does not say. On a connection that served
+	// an earlier request it may be one that the server has written once more, so it
+	// proves nothing about this request.
+	UnknownRequest
+)
+
 // Do sends a request once and returns the response once its headers are read.
 // An error that wraps ErrNotSent proves that the request did not run. The
 // caller must close the body. The context also covers reading the body.
@@ -89,7 +103,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	x := &exchange{client: c, conn: cn, writeDone: make(chan error, 1)}
+	x := &exchange{client: c, conn: cn, writeDone: make(chan error, 1), first: !cn.used}
+	cn.used = true
 	x.stopWatch = context.AfterFunc(ctx, cn.closeAndRelease)
 	go func() { x.writeDone <- x.write(req) }()
 	resp, err := x.read(req, r)
@@ -135,7 +150,9 @@
 	stopWatch func() bool
 	// receivedBefore is the connection's byte count before the response.
 	receivedBefore int64
-	done           bool
+	// first is set if the connection served no request before.
+	first bool
+	done  bool
 }
 
 func (x *exchange) write(req *http.Request) error {
@@ -169,7 +186,14 @@
 		if unbounded && !r.UntilClose {
 			return nil, ErrNoLength
 		}
-		if r.Match != nil && !r.Match(resp.StatusCode, resp.Header) {
+		match := ThisRequest
+		if r.Match != nil {
+			match = r.Match(resp.Header)
+		}
+		if match == UnknownRequest && !x.first {
+			return nil, errUnknownRequest
+		}
+		if match == OtherRequest {
 			if unbounded {
 				return nil, errOtherRequest
 			}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,6 +28,8 @@
 	// accepted or, during a write, may have accepted.
 	written  atomic.Int64
 	received atomic.Int64
+	// used is set once a request was sent.
+	used bool
 	// headerBytesLeft is the number of bytes that may still be read before
 	// the end of the headers.
 	headerBytesLeft int64
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -110,9 +110,14 @@
 		Body: bytes.NewReader(j.Body), ContentLength: int64(len(j.Body)), Idempotent: true, UntilClose: true,
 		// The first response on a reused connection may be a late one to an
 		// earlier request.
-		Match: func(status int, h http.Header) bool {
-			id := s.dialect.ReadResponse(status, h).RequestID
-			return id == "" || id == j.RequestID
+		Match: func(h http.Header) backend.Match {
+			switch s.dialect.ReadResponse(0, h).RequestID {
+			case j.RequestID:
+				return backend.ThisRequest
+			case "":
+				return backend.UnknownRequest
+			}
+			return backend.OtherRequest
 		},
 	}
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -196,3 +196,64 @@
 		}
 	}
 }
+
+// Guards against an earlier refusal, written once more on a kept connection, that is
+// taken for the refusal of the request that is running: it would be sent again, or its
+// caller told that it did not run.
+func TestRepeatedRefusalIsNotTakenForThisRequest(t *testing.T) {
+	refusal := func(status, id string) []byte {
+		return []byte("HTTP/1.1 " + status + "\r\n" + id + "Not-Run: 1\r\nContent-Length: 2\r\n\r\nno")
+	}
+	for _, status := range []string{"503 X", "421 X", "429 X"} {
+		for _, c := range []struct {
+			name, id string
+			want     dispatch.Outcome
+		}{
+			{"with its id", "Id: 1\r\n", dispatch.Served},
+			// The connection ends here, so the response to this request is lost.
+			{"without an id", "", dispatch.Dropped},
+		} {
+			address, _ := server(t, func(n int, id string) []byte {
+				if n == 1 {
+					return refusal(status, "Id: 1\r\n")
+				}
+				return append(refusal(status, c.id), okResponse(id, "done")...)
+			})
+			s := New(testDialect{})
+			_, _, _ = run(s, address, "1", nil)
+			if o, _, err := run(s, address, "2", nil); o != c.want {
+				t.Errorf("%s, repeated %s: outcome %v, want %v (%v)", status, c.name, o, c.want, err)
+			}
+		}
+	}
+}
+
+// Guards against a response that breaks off in its head, or anywhere else, and counts
+// as served with an empty or short body.
+func TestResponseCutAtAnyByteIsNotServed(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nSig: x\r\nContent-Length: 12\r\nOther: 1\r\n\r\nhello, world",
+		"HTTP/1.1 200 OK\nId: 1\nSig: x\nContent-Length: 12\n\nhello, world",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nSig: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 500 X\r\nId: 1\r\nSig: x\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range len(whole) {
+			address, _ := server(t, func(int, string) []byte { return []byte(whole[:cut]) })
+			o, _, err := run(New(testDialect{}), address, "1", http.Header{"Shut": {"1"}})
+			if o == dispatch.Served || o == dispatch.Failed {
+				t.Errorf("cut after %q: outcome %v", whole[:cut], o)
+			}
+			if err == nil {
+				t.Errorf("cut after %q: no error", whole[:cut])
+			}
+		}
+	}
+	// A response without a length ends with its connection, but its head does not.
+	const unframed = "HTTP/1.1 200 OK\r\nId: 1\r\nSig: x\r\n\r\n"
+	for cut := range len(unframed) {
+		address, _ := server(t, func(int, string) []byte { return []byte(unframed[:cut]) })
+		if o, _, _ := run(New(testDialect{}), address, "1", http.Header{"Shut": {"1"}}); o == dispatch.Served {
+			t.Errorf("cut after %q: outcome %v", unframed[:cut], o)
+		}
+	}
+}
