ingress: a planned stop answers all requests that a connection has pipelined

Callers would see: of several requests sent one after the other on a connection, the first is answered with Connection: close and the others, which were passed on to backend servers, are not. Cause: while an instance drains, each response closed its connection, also one with requests behind it. Change: the response closes the connection only if no other request of it is being read or awaits a response, and from then on none is read. Test: TestDrainAnswersPipelinedRequests; on the code before, the second of three responses is missing.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -122,6 +122,15 @@
 	return true
 }
 
+// finishIfLast reports whether no other request of the connection is being read or
+// awaits a response. If so, no further one is read.
+func (c *conn) finishIfLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = c.finished || c.pending == 1
+	return c.finished
+}
+
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// Guards against a planned stop that drops pipelined requests: those behind the first
+// have been passed on, and must be answered before the connection closes.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	entered, release := make(chan struct{}, 3), make(chan struct{})
+	s, l := listen(t, &handler{serve: func(ctx context.Context, r *Request, w *Response) {
+		entered <- struct{}{}
+		<-release
+		echo(ctx, r, w)
+	}})
+	c, r := dial(t, l)
+	for i := range 3 {
+		_, _ = fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+	}
+	for range 3 {
+		<-entered
+	}
+	s.Drain()
+	close(release)
+	for i := range 3 {
+		resp, body := readResponse(t, r)
+		if body != fmt.Sprintf("/%d", i) || resp.Close != (i == 2) {
+			t.Errorf("response %d: %q, close announced: %v", i, body, resp.Close)
+		}
+	}
+}
+
 // Guards against accepting a request that another parser would split elsewhere
 // (request smuggling), or one that exceeds the limits.
 func TestBadRequestsAreRefused(t *testing.T) {
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -209,7 +209,7 @@
 	if w.conn.ctx.Err() != nil || w.status == 0 {
 		return false
 	}
-	if w.conn.server.draining.Load() {
+	if w.conn.server.draining.Load() && w.conn.finishIfLast() {
 		w.last = true
 	}
 	w.writeHead(out, int64(len(w.body)))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// Drain makes each connection close after its next response.
+// Drain makes each connection close after the responses to the requests that it has
+// read.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Active returns the number of requests that are being read or served.
