fleet: members report how many members their coordinator has

Cause: asked for its coordinator, a member reported as its members the length of the roster, 40. The roster holds each instance of the last 30 s, whether or not it can be reached. Class: the size of what is known taken for the size of what answers.

Change: the coordinator sends the number of attached members with each heartbeat, and its members report that. Why it works: of two coordinators the one that really has fewer members steps down, which is the one that was cut off.

Test: TestFollowerReportsTheMembersOfItsCoordinator (never reports 3, but 13, without the change).

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -182,7 +182,9 @@
 	for _, r := range hello.GetRunning() {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
 	}
-	c.send(session, &peerpb.CoordinatorMessage{State: state, ConfigAgeMs: configAgeToProto(now, c.reader.configReadAt())})
+	c.send(session, &peerpb.CoordinatorMessage{
+		State: state, ConfigAgeMs: configAgeToProto(now, c.reader.configReadAt()), Members: uint32(len(c.sessions)),
+	})
 	c.updateConnectedShare(now)
 	return nil
 }
@@ -388,7 +390,7 @@
 				silent = append(silent, session)
 				continue
 			}
-			m := &peerpb.CoordinatorMessage{Beat: n, ConfigAgeMs: configAge}
+			m := &peerpb.CoordinatorMessage{Beat: n, ConfigAgeMs: configAge, Members: uint32(len(c.sessions))}
 			if session.standby {
 				m.State = suspicions
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,7 +97,8 @@
 	coordinator *coordinator
 	// followedCoordinator is the coordinator's address, or "" if there is none.
 	followedCoordinator string
-	// memberCount is the size of the last full roster from the coordinator.
+	// memberCount is how many members the followed coordinator last had. Its roster is
+	// longer: it also holds instances that it cannot reach.
 	memberCount int
 	// configReadAt is when the followed coordinator last read the operators' topic, as
 	// far as this instance knows; zero if it does not.
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -173,11 +173,11 @@
 		if err := m.fleet.replica.apply(c.State, time.Now()); err != nil {
 			return err
 		}
-		if c.State.HasRoster {
-			m.fleet.mu.Lock()
-			m.fleet.memberCount = len(c.State.Roster)
-			m.fleet.mu.Unlock()
-		}
+	}
+	if c.Members > 0 {
+		m.fleet.mu.Lock()
+		m.fleet.memberCount = int(c.Members)
+		m.fleet.mu.Unlock()
 	}
 	switch {
 	case c.Permit != nil:
--- a/internal/fleet/succession_test.go
+++ b/internal/fleet/succession_test.go
@@ -115,3 +115,30 @@
 		t.Errorf("the successor's first permit is for service %q, as version 1 says", p.Service)
 	}
 }
+
+// Guards against a coordinator that steps down in favour of one that was cut off and has
+// few members: a member of that one must report how many there are, not how many
+// instances its roster holds, most of which it cannot reach.
+func TestFollowerReportsTheMembersOfItsCoordinator(t *testing.T) {
+	const n = 3
+	fleet := newTestFleet(t, n)
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
+	for i := range 10 {
+		coordinator.replica.addPeer(Peer{Address: fmt.Sprintf("unreachable:%d", i), Domain: "a"})
+	}
+	for _, f := range fleet.instances {
+		if f == coordinator {
+			continue
+		}
+		// The member attaches again and gets the whole roster.
+		coordinator.mu.Lock()
+		c := coordinator.coordinator
+		coordinator.mu.Unlock()
+		c.mu.Lock()
+		c.sessions[f.opts.Self.Address].close()
+		c.mu.Unlock()
+		eventually(t, "the member has the whole roster", func() bool { return len(f.replica.rosterWithout("")) == n+10 })
+		eventually(t, "the member reports the members", func() bool { return f.Ready() && f.currentCoordinator().Members == n })
+	}
+}
