dispatch: bookings test servers for the floor where no lookups do

Cause: to meet the floor, bookings tested a server only below a probability of failure of 0.3.

Change: bookings test below 0.6, which is reached about 4 s after a failure; with that a margin of 0.15 is enough.

--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -186,8 +186,8 @@
 			SuspectWait: 100 * time.Millisecond, SuspectBudget: 0.5,
 		},
 		Floor: FloorPolicy{
-			ExploreAfter: 1300 * time.Millisecond, Window: 1600 * time.Millisecond, HealthyAfter: 2 * time.Second, Margin: 0.2,
-			MaxSteadyIdleUnsafe: 2, ExploreUnsafe: 0.3, ExploreRepeatable: 0.75,
+			ExploreAfter: 1300 * time.Millisecond, Window: 1600 * time.Millisecond, HealthyAfter: 2 * time.Second, Margin: 0.15,
+			MaxSteadyIdleUnsafe: 2, ExploreUnsafe: 0.6, ExploreRepeatable: 0.75,
 		},
 		Admission: AdmissionPolicy{
 			SaturationLoad: 1.1, OverloadLoad: 1.25, OverloadWaitShare: 0.5, ShedPause: 150 * time.Millisecond, ColdFactor: 1,
