fleet: no data race between a new permit request and the loss of the coordinator

Seen: the race detector in TestSuccessorReadsTheConfigurationFirst (1 of 3 runs): Acquire reads whether the request was submitted before, while the loss of the coordinator sets it. Callers: a request could reach the next coordinator with the wrong mark, and be counted twice or not at all against its team's rate. Change: the message is built under the lock under which the mark is set.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -107,10 +107,11 @@
 	m.lastID++
 	id := m.lastID
 	m.pending[id] = p
+	ask := p.toProto(id)
 	toCoordinator := m.toCoordinator
 	m.mu.Unlock()
 	if toCoordinator != nil {
-		_ = toCoordinator.send(&peerpb.MemberMessage{Ask: p.toProto(id)})
+		_ = toCoordinator.send(&peerpb.MemberMessage{Ask: ask})
 	}
 	select {
 	case r := <-p.result:
@@ -157,6 +158,7 @@
 	}})
 }
 
+// toProto returns the message for the coordinator. The caller holds mu.
 func (p *pendingRequest) toProto(id uint64) *peerpb.Ask {
 	now := time.Now()
 	return &peerpb.Ask{
