fleet: a new coordinator is known while it reads the configuration

The logs show 3 to 5 coordinators within 0.1 s after all instances were killed at second 32.

Cause: since "a successor is not older than its members", an instance that had claimed the role in the store was not named by anyone, itself included, until its first read of the configuration ended. Others that started meanwhile asked it, heard of no coordinator and claimed the role as well; each coordinator grants its members a share of each rate.

Change: the instance names itself at once, and lets members wait until the read has ended.

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -56,7 +56,9 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	reader     *storeReader
-	sessions   map[string]*memberSession
+	// accepting is closed once members may join.
+	accepting chan struct{}
+	sessions  map[string]*memberSession
 	// unreachable maps the addresses of lost members that may still be running,
 	// e.g. behind a partition, to the time of the loss. A member whose
 	// connection was reset has ended and is not included.
@@ -75,11 +77,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := f.newCoordinator(cancel)
-	c.reader.readOperatorFirst(ctx)
+	// Others are told at once, or several instances that start together take over.
 	f.mu.Lock()
 	f.coordinator = c
 	f.followedCoordinator = f.opts.Self.Address
 	f.mu.Unlock()
+	c.reader.readOperatorFirst(ctx)
+	close(c.accepting)
 	log.WithFields(log.Fields{"event": "coordinator_started", "roster": len(f.replica.rosterWithout(""))}).Info("this instance is now the coordinator")
 	detach := f.member.attachLocal(ctx, c)
 	var wg sync.WaitGroup
@@ -100,7 +104,7 @@
 func (f *Fleet) newCoordinator(cancel context.CancelFunc) *coordinator {
 	now := time.Now()
 	c := &coordinator{
-		fleet: f, cancel: cancel, sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
+		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
 		disconnected: make(map[string]time.Time), startedAt: now, rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -56,6 +56,11 @@
 	if first.Hello.GetSelf().GetAddress() == "" {
 		return errors.New("first message of a member has no address")
 	}
+	select {
+	case <-c.accepting:
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	}
 	closed := make(chan struct{})
 	var once sync.Once
 	session := &memberSession{
--- a/internal/fleet/succession_test.go
+++ b/internal/fleet/succession_test.go
@@ -142,3 +142,38 @@
 		eventually(t, "the member reports the members", func() bool { return f.Ready() && f.currentCoordinator().Members == n })
 	}
 }
+
+// Guards against several coordinators after all instances have started at once: one that
+// has taken over says so while it reads the configuration, which takes longer when the
+// store is slow.
+func TestNewCoordinatorIsKnownWhileItReads(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	eventually(t, "one coordinator", func() bool { return fleet.ready(-1) })
+	fleet.store.mu.Lock()
+	fleet.store.operatorDelay = firstReadTimeout
+	fleet.store.mu.Unlock()
+	started := time.Now()
+	f := fleet.add(1)
+	eventually(t, "it follows the first", f.Ready)
+	fleet.stops[0]()
+	eventually(t, "the other takes over", func() bool { return len(fleet.coordinators(0)) == 1 })
+	f.mu.Lock()
+	c := f.coordinator
+	f.mu.Unlock()
+	select {
+	case <-c.accepting:
+		t.Errorf("the coordinator is known only after its first read, %v after the start", time.Since(started))
+	default:
+	}
+	if who := f.currentCoordinator(); who.GetCoordinator().GetAddress() != f.opts.Self.Address {
+		t.Errorf("asked for its coordinator, it names %q", who.GetCoordinator().GetAddress())
+	}
+	eventually(t, "members are accepted", func() bool {
+		select {
+		case <-c.accepting:
+			return true
+		default:
+			return false
+		}
+	})
+}
