dispatch: a rate limit ends with a response through any instance

Seen by reading: a limit ended only when the instance that had been told of it got a response without one. If another instance sends to the server from then on, as after the loss of the first, that one has nothing to take back and reports nothing; the server would have been held to its old limit for good.

Change: a response to a request that was granted after the limit was last named ends it, if it comes without the limit's being named again.

Test: TestLimitEndsWithItsServerOrAResponse, "response through an instance that was not told" (1 request a second on the code before, at least 20 now). The load of the other tests names the limit in each response now, as servers do.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -56,7 +56,11 @@
 // has changed.
 func (d *Dispatcher) SetServerLimit(now time.Time, id string, limit float64) bool {
 	s := d.servers[id]
-	if s == nil || s.limited && s.limit == limit {
+	if s == nil {
+		return false
+	}
+	s.limitNamedAt = now
+	if s.limited && s.limit == limit {
 		return false
 	}
 	if !s.limited {
@@ -79,6 +83,15 @@
 	return d.flush(), true
 }
 
+// endUnnamedLimit ends the limit of a server that has responded to a request without
+// naming it. The instance that sent the request reports a limit before the end of the
+// request; it does not report that there is none if another instance was told of one.
+func (s *server) endUnnamedLimit(pm *permit) {
+	if s.limited && !pm.adopted && pm.grantedAt.After(s.limitNamedAt) {
+		s.limited = false
+	}
+}
+
 // ServerLimit returns the rate limit that a server names; false if it names none.
 func (d *Dispatcher) ServerLimit(id string) (limit float64, limited bool) {
 	s := d.servers[id]
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -17,6 +17,8 @@
 	failures int
 	running  []*Permit
 	endsAt   []time.Time
+	// limit is what server s00 names in each response; negative for none.
+	limit float64
 	// granted are the times of the permits for server s00.
 	granted     []time.Time
 	sent, ended int
@@ -32,6 +34,9 @@
 			if l.ended++; l.failures > 0 && l.ended%l.failures == 0 {
 				o = Failed
 			}
+			if p.Server.ID == "s00" && l.limit >= 0 {
+				l.d.SetServerLimit(l.now, "s00", l.limit)
+			}
 			l.note(l.d.Done(l.now, Report{Permit: p.Number, Outcome: o, Took: 60 * time.Millisecond}))
 		}
 		l.sent++
@@ -78,9 +83,10 @@
 	for _, rates := range [][]float64{{0}, {0.3}, {1.3}, {5.4}, {12, 1.5, 12}, {2, 20, 0.5}} {
 		for _, others := range []int{0, 3} {
 			t.Run(fmt.Sprint(rates, " with ", others, " others"), func(t *testing.T) {
-				l := &limitedLoad{fixture: newFixture(t, 1+others), failures: 7 * others}
+				l := &limitedLoad{fixture: newFixture(t, 1+others), failures: 7 * others, limit: -1}
 				l.run(2 * time.Second)
 				for _, rate := range rates {
+					l.limit = rate
 					l.d.SetServerLimit(l.now, "s00", rate)
 					since := l.now
 					l.run(12 * time.Second)
@@ -102,12 +108,15 @@
 func TestLimitEndsWithItsServerOrAResponse(t *testing.T) {
 	for name, end := range map[string]func(f *fixture){
 		"response": func(f *fixture) { f.d.ClearServerLimit(f.now, "s00") },
-		"restart":  func(f *fixture) { f.server(0, func(s *catalog.Server) { s.Incarnation++ }) },
+		"response through an instance that was not told": func(f *fixture) {},
+		"restart": func(f *fixture) { f.server(0, func(s *catalog.Server) { s.Incarnation++ }) },
 	} {
-		l := &limitedLoad{fixture: newFixture(t, 1)}
+		l := &limitedLoad{fixture: newFixture(t, 1), limit: 1}
 		l.d.SetServerLimit(l.now, "s00", 1)
 		l.run(4 * time.Second)
+		l.limit = -1
 		end(l.fixture)
+		l.run(time.Second)
 		since := l.now
 		l.run(4 * time.Second)
 		if got := l.most(since, time.Second); got < 20 {
@@ -151,6 +160,7 @@
 		ended := running
 		running = nil
 		for _, p := range ended {
+			f.d.SetServerLimit(f.now, p.Server.ID, 2)
 			running = append(running, note(f.d.Done(f.now, Report{Permit: p.Number, Outcome: Served, Took: 20 * time.Millisecond}))...)
 		}
 		arrived[f.next+1] = f.now
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -67,6 +67,9 @@
 // recordOutcome updates the state of a server with the outcome of a request.
 func (d *Dispatcher) recordOutcome(now time.Time, s *server, pm *permit, o Outcome, took time.Duration) {
 	p := d.pool(s.Service)
+	if o == Served || o == Failed || o == Shed {
+		s.endUnnamedLimit(pm)
+	}
 	switch o {
 	case Served:
 		d.recordSuccess(now, p, s, pm)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -101,6 +101,8 @@
 	limited   bool
 	limit     float64
 	limitPace pace
+	// limitNamedAt is when a response last named the limit.
+	limitNamedAt time.Time
 	// lastServed is when a response last arrived; zero if never.
 	lastServed time.Time
 	// unreachableFrom holds the instances that could not reach the server, with
