dispatch: a log line tells when and at what count retries are refused

The coordinator now writes retry_budget_spent once a second for each service, with the count and its limit.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,6 +155,8 @@
 	transitions      []Transition
 	// shortfalls are the floor shortfalls that the caller has not fetched yet.
 	shortfalls []FloorShortfall
+	// spentBudgets are the spent retry budgets that the caller has not fetched yet.
+	spentBudgets []SpentRetryBudget
 	// checks are the path checks that the caller has not fetched yet.
 	checks           []PathCheck
 	pendingDecisions []Decision
@@ -324,6 +326,7 @@
 	}
 	d.checkPermits(now)
 	d.checkFloor(now)
+	d.checkRetryBudgets(now)
 	return d.flush()
 }
 
--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -28,6 +28,9 @@
 type retryBudget struct {
 	requests, retries [retrySteps + 1]float64
 	stepStartedAt     time.Time
+	// refused counts the retries refused since refusedCheckedAt.
+	refused          int
+	refusedCheckedAt time.Time
 }
 
 // advance moves the window up to now.
@@ -37,7 +40,7 @@
 		return
 	}
 	if now.Sub(r.stepStartedAt) > 2*window {
-		*r = retryBudget{stepStartedAt: now}
+		r.requests, r.retries, r.stepStartedAt = [retrySteps + 1]float64{}, [retrySteps + 1]float64{}, now
 	}
 	for now.Sub(r.stepStartedAt) >= step {
 		r.stepStartedAt = r.stepStartedAt.Add(step)
@@ -56,6 +59,7 @@
 func (r *retryBudget) allow(now time.Time, b Bounds, share float64) bool {
 	used, limit := r.usage(now, b, share)
 	if used+1 > limit {
+		r.refused++
 		return false
 	}
 	r.retries[0]++
@@ -81,3 +85,37 @@
 	}
 	return used, retryMargin * (b.RetrySlack + b.RetryRatio*requests) * share
 }
+
+// spentCheckInterval is the time between reports of spent retry budgets.
+const spentCheckInterval = time.Second
+
+// SpentRetryBudget tells that retries were refused because the retry budget of their
+// service was spent.
+type SpentRetryBudget struct {
+	Service string
+	// Used is how many retries the window holds, of Limit.
+	Used, Limit float64
+	// Refused is how many were refused since the last report.
+	Refused int
+}
+
+// SpentRetryBudgets returns the spent retry budgets found since the last call.
+func (d *Dispatcher) SpentRetryBudgets() []SpentRetryBudget {
+	out := d.spentBudgets
+	d.spentBudgets = nil
+	return out
+}
+
+// checkRetryBudgets looks for services whose retries are refused, once per
+// spentCheckInterval.
+func (d *Dispatcher) checkRetryBudgets(now time.Time) {
+	for name, p := range d.pools {
+		r := &p.retries
+		if r.refused == 0 || now.Sub(r.refusedCheckedAt) < spentCheckInterval {
+			continue
+		}
+		used, limit := r.usage(now, d.bounds, d.connectedShare)
+		d.spentBudgets = append(d.spentBudgets, SpentRetryBudget{Service: name, Used: used, Limit: limit, Refused: r.refused})
+		r.refused, r.refusedCheckedAt = 0, now
+	}
+}
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -364,10 +364,11 @@
 			c.mu.Lock()
 			c.deliver(c.dispatcher.Tick(now))
 			transitions, checks := c.dispatcher.Transitions(), c.dispatcher.PathChecks()
-			shortfalls := c.dispatcher.FloorShortfalls()
+			shortfalls, spent := c.dispatcher.FloorShortfalls(), c.dispatcher.SpentRetryBudgets()
 			c.mu.Unlock()
 			logTransitions(transitions)
 			logShortfalls(shortfalls)
+			logSpentRetryBudgets(spent)
 			for _, check := range checks {
 				go c.checkPaths(ctx, check)
 			}
--- a/internal/fleet/serverlog.go
+++ b/internal/fleet/serverlog.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+
 	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/dispatch"
@@ -30,3 +32,12 @@
 		}).Warn("steady backend servers got no work for two seconds")
 	}
 }
+
+// logSpentRetryBudgets logs each service whose retries are refused.
+func logSpentRetryBudgets(spent []dispatch.SpentRetryBudget) {
+	for _, b := range spent {
+		log.WithFields(log.Fields{
+			"event": "retry_budget_spent", "service": b.Service, "used": math.Round(b.Used), "limit": math.Round(b.Limit), "refused": b.Refused,
+		}).Warn("retries refused")
+	}
+}
