fleet: retry budgets hold across coordinators

Callers see no difference, the servers get more than they agreed to at the moment they are worst off.

Cause: a successor began each retry budget anew. It assumed that 0.6 of the fixed slack (37 retries) was spent, while its predecessor may have allowed the whole bound in the last second.

Change: a coordinator records what it allowed in the store, by steps of the window and ahead of use, as soon as that is more than a successor assumes. A successor adds the records of all others, so does a coordinator that members join after a cut. Until the records are read it uses what its predecessors must have left. Records live in the store since members can be lost together with their coordinator.

TestRepeatableRequestsTrySuspects sets the same empty budget through a renamed field.

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -75,7 +75,7 @@
 }
 
 func (d *Dispatcher) offerOf(now time.Time, p *pool, free []candidate) offer {
-	o := offer{minFailProb: 1, retryRoom: p.retries.remaining(now, d.bounds, d.connectedShare)}
+	o := offer{minFailProb: 1, retryRoom: p.retries.remaining(now, d.bounds, d.retryShare(now))}
 	for i := range free {
 		c := &free[i]
 		o.minFailProb = min(o.minFailProb, c.failProb)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,6 +148,9 @@
 	// connectedShare is the share of the roster that this coordinator is
 	// connected to, 0 to 1.
 	connectedShare float64
+	// retriesUnknown is set until the retries that earlier coordinators allowed are
+	// known.
+	retriesUnknown bool
 	// startedAt is when this coordinator took over.
 	startedAt time.Time
 	// permitsCheckedAt is when the requests in flight were last checked.
@@ -294,7 +297,7 @@
 		}
 	}
 	if req.IsRetry {
-		if !p.retries.allow(now, d.bounds, d.connectedShare) {
+		if !p.retries.allow(now, d.bounds, d.retryShare(now)) {
 			d.refuse(&req, errkind.Overloaded, budgetRetryAfter, "retry budget of service %q is spent", w.Service)
 			return d.flush()
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -414,7 +414,7 @@
 			f.d.servers[s].observe(f.now, true)
 		}
 	}
-	f.d.pools["desk"].retries = retryBudget{stepStartedAt: f.now}
+	f.d.pools["desk"].retries = retryBudget{own: retryWindow{stepStartedAt: f.now}}
 	f.permit("book")
 	f.permit("book")
 	if out := append(f.request("look", nil), f.request("book", nil)...); len(out) != 0 {
--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // retrySteps is the number of steps into which the retry window is divided.
 const retrySteps = 10
@@ -9,50 +13,71 @@
 	// retryMargin is the share of the agreed retry budget that is used. The rest
 	// covers requests counted at only one end of a window.
 	retryMargin = 0.85
-	// assumedRetryUse is the share of the slack that a new coordinator assumes to
-	// be spent, since it does not know what its predecessor allowed.
-	assumedRetryUse = 0.6
+	// unrecordedRetryShare is the share of the slack that a coordinator uses without
+	// a record of it. Its successors assume that it did.
+	unrecordedRetryShare = 0.15
 )
 
-// newRetryBudget returns the retry budget of a service under a new coordinator.
-func newRetryBudget(now time.Time, b Bounds) retryBudget {
-	r := retryBudget{stepStartedAt: now}
-	for i := range retrySteps {
-		r.retries[i] = assumedRetryUse * b.RetrySlack / retrySteps
-	}
-	return r
-}
-
-// retryBudget counts the requests and the retries of a service in a sliding
-// window.
-type retryBudget struct {
+// retryWindow counts the requests and the retries of a service in a sliding window,
+// by step. The current step comes first.
+type retryWindow struct {
 	requests, retries [retrySteps + 1]float64
 	stepStartedAt     time.Time
-	// refused counts the retries refused since refusedCheckedAt.
-	refused          int
-	refusedCheckedAt time.Time
 }
 
 // advance moves the window up to now.
-func (r *retryBudget) advance(now time.Time, window time.Duration) {
+func (w *retryWindow) advance(now time.Time, window time.Duration) {
 	step := window / retrySteps
 	if step <= 0 {
 		return
 	}
-	if now.Sub(r.stepStartedAt) > 2*window {
-		r.requests, r.retries, r.stepStartedAt = [retrySteps + 1]float64{}, [retrySteps + 1]float64{}, now
+	if now.Sub(w.stepStartedAt) > 2*window {
+		*w = retryWindow{stepStartedAt: now}
+	}
+	for now.Sub(w.stepStartedAt) >= step {
+		w.stepStartedAt = w.stepStartedAt.Add(step)
+		copy(w.requests[1:], w.requests[:])
+		copy(w.retries[1:], w.retries[:])
+		w.requests[0], w.retries[0] = 0, 0
 	}
-	for now.Sub(r.stepStartedAt) >= step {
-		r.stepStartedAt = r.stepStartedAt.Add(step)
-		copy(r.requests[1:], r.requests[:])
-		copy(r.retries[1:], r.retries[:])
-		r.requests[0], r.retries[0] = 0, 0
+}
+
+// totals returns the requests and the retries of the window.
+func (w *retryWindow) totals(now time.Time, window time.Duration) (requests, retries float64) {
+	w.advance(now, window)
+	for i := range w.requests {
+		requests += w.requests[i]
+		retries += w.retries[i]
 	}
+	return requests, retries
+}
+
+// retryBudget limits the retries of a service, which all coordinators of a window share.
+type retryBudget struct {
+	own retryWindow
+	// inherited holds what other coordinators counted, by their addresses, and under
+	// "" what they may have used without a record.
+	inherited map[string]*retryWindow
+	// sinceRecord counts the retries since own was last recorded, at recordedAt.
+	sinceRecord int
+	recordedAt  time.Time
+	// refused counts the retries refused since refusedCheckedAt.
+	refused          int
+	refusedCheckedAt time.Time
+}
+
+// newRetryBudget returns the retry budget of a service under a new coordinator.
+func newRetryBudget(now time.Time, b Bounds) retryBudget {
+	unrecorded := &retryWindow{stepStartedAt: now}
+	for i := range retrySteps {
+		unrecorded.retries[i] = unrecordedRetryShare * b.RetrySlack / retrySteps
+	}
+	return retryBudget{own: retryWindow{stepStartedAt: now}, inherited: map[string]*retryWindow{"": unrecorded}}
 }
 
 func (r *retryBudget) countRequest(now time.Time, b Bounds) {
-	r.advance(now, b.RetryWindow)
-	r.requests[0]++
+	r.own.advance(now, b.RetryWindow)
+	r.own.requests[0]++
 }
 
 // allow counts a retry and returns true if the budget has room for it.
@@ -62,7 +87,8 @@
 		r.refused++
 		return false
 	}
-	r.retries[0]++
+	r.own.retries[0]++
+	r.sinceRecord++
 	return true
 }
 
@@ -72,20 +98,153 @@
 	if limit <= 0 {
 		return 0
 	}
-	return 1 - used/limit
+	return max(0, 1-used/limit)
 }
 
 // usage returns the retries in the window and how many are allowed.
 func (r *retryBudget) usage(now time.Time, b Bounds, share float64) (used, limit float64) {
-	r.advance(now, b.RetryWindow)
-	requests := 0.0
-	for i := range r.requests {
-		requests += r.requests[i]
-		used += r.retries[i]
+	requests, used := r.own.totals(now, b.RetryWindow)
+	for _, w := range r.inherited {
+		q, n := w.totals(now, b.RetryWindow)
+		requests, used = requests+q, used+n
 	}
 	return used, retryMargin * (b.RetrySlack + b.RetryRatio*requests) * share
 }
 
+// retryShare is the share of the retry budgets that this coordinator may use: that of
+// the instances that it is connected to. While it does not know what its predecessors
+// used, it leaves them what they may have used.
+func (d *Dispatcher) retryShare(now time.Time) float64 {
+	if d.retriesUnknown && now.Sub(d.startedAt) < d.bounds.RetryWindow {
+		return d.connectedShare * (1 - retryMargin) / retryMargin
+	}
+	return d.connectedShare
+}
+
+// RetryUse is what a coordinator counted for a service in its retry window, by step. The
+// current step comes first; it began StepAgeMS before the record was made.
+type RetryUse struct {
+	Service   string   `json:"service"`
+	Requests  []uint32 `json:"requests"`
+	Retries   []uint32 `json:"retries"`
+	StepAgeMS int64    `json:"step_age_ms"`
+}
+
+const (
+	// retryRecordInterval is the time between records of the retries, while there are
+	// more than a successor assumes.
+	retryRecordInterval = time.Second
+	// retriesAhead and minRetriesAhead are how many retries a record holds beyond those
+	// that were allowed, as a share of the limit and as a least number. A new record is
+	// due once half of them are used.
+	retriesAhead    = 0.1
+	minRetriesAhead = 4
+)
+
+// RetryRecordDue reports whether successors need a new record of the retries.
+func (d *Dispatcher) RetryRecordDue(now time.Time) bool {
+	for _, p := range d.pools {
+		r := &p.retries
+		_, own := r.own.totals(now, d.bounds.RetryWindow)
+		if own <= unrecordedRetryShare*d.bounds.RetrySlack {
+			continue
+		}
+		if now.Sub(r.recordedAt) >= retryRecordInterval || float64(r.sinceRecord) >= d.retriesAhead(now, r)/2 {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) retriesAhead(now time.Time, r *retryBudget) float64 {
+	_, limit := r.usage(now, d.bounds, d.retryShare(now))
+	return max(minRetriesAhead, retriesAhead*limit)
+}
+
+// RetryRecord returns what a successor needs to know about the retries, for each service
+// that has any. An earlier coordinator's record under the same address, self, is
+// included, as the new one replaces it.
+func (d *Dispatcher) RetryRecord(now time.Time, self string) []RetryUse {
+	var out []RetryUse
+	for name, p := range d.pools {
+		r := &p.retries
+		requests, retries := r.own.totals(now, d.bounds.RetryWindow)
+		if earlier := r.inherited[self]; earlier != nil {
+			q, n := earlier.totals(now, d.bounds.RetryWindow)
+			requests, retries = requests+q, retries+n
+		}
+		if retries == 0 {
+			continue
+		}
+		u := RetryUse{Service: name, StepAgeMS: now.Sub(r.own.stepStartedAt).Milliseconds()}
+		for i := range r.own.retries {
+			q, n := r.own.requests[i], r.own.retries[i]
+			if earlier := r.inherited[self]; earlier != nil {
+				q, n = q+earlier.requests[i], n+earlier.retries[i]
+			}
+			u.Requests, u.Retries = append(u.Requests, uint32(q)), append(u.Retries, uint32(n))
+		}
+		u.Retries[0] += uint32(d.retriesAhead(now, r))
+		r.sinceRecord, r.recordedAt = 0, now
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b RetryUse) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// AwaitRetryRecords makes the dispatcher leave room for the retries that earlier
+// coordinators allowed, until InheritRetries tells how many those were.
+func (d *Dispatcher) AwaitRetryRecords() { d.retriesUnknown = true }
+
+// clockTolerance is how far apart the clocks of two instances may be.
+const clockTolerance = 2 * time.Second
+
+// InheritRetries takes over what other coordinators recorded, by their addresses. Ages
+// are those of the records by the clock of this instance.
+func (d *Dispatcher) InheritRetries(now time.Time, records map[string][]RetryUse, ages map[string]time.Duration) {
+	d.retriesUnknown = false
+	for address, uses := range records {
+		for _, u := range uses {
+			d.inherit(now, address, max(0, ages[address]), u)
+		}
+	}
+}
+
+// inherit takes over one record, unless it holds less than is known already: a store that
+// lost its last records gives out earlier ones.
+func (d *Dispatcher) inherit(now time.Time, address string, age time.Duration, u RetryUse) {
+	if address == "" || age > 2*d.bounds.RetryWindow {
+		return
+	}
+	inherited, recorded := d.pool(u.Service).retries.inherited, d.inheritedWindow(now, age, u)
+	if known := inherited[address]; known != nil {
+		_, before := known.totals(now, d.bounds.RetryWindow)
+		if _, n := recorded.totals(now, d.bounds.RetryWindow); n < before {
+			return
+		}
+	}
+	inherited[address] = recorded
+}
+
+// inheritedWindow returns the window that a record of a given age holds. Its retries count
+// for clockTolerance longer, its requests do not.
+func (d *Dispatcher) inheritedWindow(now time.Time, age time.Duration, u RetryUse) *retryWindow {
+	step := d.bounds.RetryWindow / retrySteps
+	stepAge := min(max(0, time.Duration(u.StepAgeMS)*time.Millisecond), step)
+	w := &retryWindow{stepStartedAt: now.Add(-age - stepAge)}
+	for i, n := range u.Requests[:min(len(u.Requests), len(w.requests))] {
+		w.requests[i] = float64(n)
+	}
+	later := 0
+	if step > 0 {
+		later = int((clockTolerance + step - 1) / step)
+	}
+	for i, n := range u.Retries[:min(len(u.Retries), len(w.retries))] {
+		w.retries[max(0, i-later)] += float64(n)
+	}
+	return w
+}
+
 // spentCheckInterval is the time between reports of spent retry budgets.
 const spentCheckInterval = time.Second
 
@@ -114,7 +273,7 @@
 		if r.refused == 0 || now.Sub(r.refusedCheckedAt) < spentCheckInterval {
 			continue
 		}
-		used, limit := r.usage(now, d.bounds, d.connectedShare)
+		used, limit := r.usage(now, d.bounds, d.retryShare(now))
 		d.spentBudgets = append(d.spentBudgets, SpentRetryBudget{Service: name, Used: used, Limit: limit, Refused: r.refused})
 		r.refused, r.refusedCheckedAt = 0, now
 	}
--- a/internal/dispatch/retrybudget_test.go
+++ b/internal/dispatch/retrybudget_test.go
@@ -1,6 +1,13 @@
 package dispatch
 
-import "testing"
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+)
 
 // Guards against refused retries that no log line explains.
 func TestSpentRetryBudgetIsReported(t *testing.T) {
@@ -23,3 +30,202 @@
 		t.Errorf("reported without a new refusal: %+v", again)
 	}
 }
+
+// retryAudit checks a service's retries against the agreed bound, as callers and servers
+// see them: whichever coordinator allowed them.
+type retryAudit struct {
+	requests, retries []time.Time
+}
+
+// countWithin counts the times, which are sorted, after from and up to to.
+func countWithin(times []time.Time, from, to time.Time) float64 {
+	after := func(t time.Time) int { return sort.Search(len(times), func(i int) bool { return times[i].After(t) }) }
+	return float64(after(to) - after(from))
+}
+
+// excess returns by how many retries the bound is exceeded in the worst window. Requests
+// are those of the window, the one before it or the one half a window before it.
+func (a *retryAudit) excess(b Bounds) float64 {
+	worst := math.Inf(-1)
+	for _, to := range a.retries {
+		from := to.Add(-b.RetryWindow)
+		requests := 0.0
+		for _, back := range []time.Duration{0, b.RetryWindow / 2, b.RetryWindow} {
+			requests = max(requests, countWithin(a.requests, from.Add(-back), to.Add(-back)))
+		}
+		worst = max(worst, countWithin(a.retries, from, to)-b.RetryRatio*requests-b.RetrySlack)
+	}
+	return worst
+}
+
+// retryStore is the store with the retry records of coordinators, whose clocks differ.
+type retryStore struct {
+	uses    map[string][]RetryUse
+	written map[string]time.Time
+}
+
+func (s *retryStore) write(now time.Time, d *Dispatcher, address string, clockError time.Duration) {
+	s.uses[address], s.written[address] = d.RetryRecord(now, address), now.Add(clockError)
+}
+
+func (s *retryStore) inherit(now time.Time, d *Dispatcher, clockError time.Duration, except string) {
+	uses, ages := make(map[string][]RetryUse), make(map[string]time.Duration)
+	for address, u := range s.uses {
+		if address != except {
+			uses[address], ages[address] = u, now.Add(clockError).Sub(s.written[address])
+		}
+	}
+	d.InheritRetries(now, uses, ages)
+}
+
+// Guards against retries beyond the agreed budget after coordinators were lost: a
+// successor that does not count what its predecessors allowed, be it one or several
+// within a window, one on the same instance, or one whose clock is off.
+func TestSuccessorsStayWithinTheRetryBudget(t *testing.T) {
+	const (
+		length        = 40 * time.Second
+		requestEvery  = 8 * time.Millisecond
+		recordPoll    = 100 * time.Millisecond
+		maxClockError = time.Second
+	)
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		store := &retryStore{uses: make(map[string][]RetryUse), written: make(map[string]time.Time)}
+		audit := &retryAudit{}
+		start := time.Unix(1000, 0)
+		address, clockError := "", time.Duration(0)
+		var d *Dispatcher
+		var lostAt, polledAt, burstFrom time.Time
+		for now := start; now.Before(start.Add(length)); now = now.Add(requestEvery) {
+			if d == nil || now.After(lostAt) {
+				address = fmt.Sprint("instance-", rng.IntN(3))
+				clockError = time.Duration(float64(maxClockError) * (2*rng.Float64() - 1))
+				d = New(now, testBounds, &testPolicy, seed)
+				store.inherit(now, d, clockError, "")
+				lostAt = now.Add(time.Duration(rng.IntN(int(9 * time.Second))))
+				// Servers turn everything away shortly before some losses.
+				burstFrom = lostAt.Add(-time.Duration(rng.IntN(int(2 * time.Second))))
+			}
+			r := &d.pool("desk").retries
+			r.countRequest(now, testBounds)
+			audit.requests = append(audit.requests, now)
+			for now.After(burstFrom) && r.allow(now, testBounds, d.retryShare(now)) {
+				audit.retries = append(audit.retries, now)
+				if rng.IntN(4) == 0 {
+					break
+				}
+			}
+			if now.Sub(polledAt) >= recordPoll {
+				polledAt = now
+				if d.RetryRecordDue(now) {
+					store.write(now, d, address, clockError)
+				}
+			}
+		}
+		if over := audit.excess(testBounds); over > 0 {
+			t.Errorf("seed %d: %.0f retries more than agreed in %v", seed, over, testBounds.RetryWindow)
+		}
+	}
+}
+
+// Guards against a successor that cannot read the records and takes that for unused
+// budgets, and against one that refuses all retries for good.
+func TestSuccessorWithoutRecordsLeavesRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	audit := &retryAudit{}
+	first := New(now, testBounds, &testPolicy, 1)
+	use := func(d *Dispatcher, d1 time.Duration) (allowed int) {
+		for end := now.Add(d1); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			r := &d.pool("desk").retries
+			r.countRequest(now, testBounds)
+			audit.requests = append(audit.requests, now)
+			for r.allow(now, testBounds, d.retryShare(now)) {
+				audit.retries = append(audit.retries, now)
+				allowed++
+			}
+		}
+		return allowed
+	}
+	use(first, 10*time.Second)
+	second := New(now, testBounds, &testPolicy, 2)
+	second.AwaitRetryRecords()
+	if n := use(second, testBounds.RetryWindow); n == 0 {
+		t.Error("no retry at all while the records cannot be read")
+	}
+	if n := use(second, testBounds.RetryWindow); n < 100 {
+		t.Errorf("%d retries in the window after that, want a full budget", n)
+	}
+	if over := audit.excess(testBounds); over > 0 {
+		t.Errorf("%.0f retries more than agreed", over)
+	}
+}
+
+// Guards against a coordinator that forgets the retries allowed on the other side of a
+// cut: the other one has stepped down, and its members have joined.
+func TestRetriesOfTheOtherSideCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sides := [2]*Dispatcher{New(now, testBounds, &testPolicy, 1), New(now, testBounds, &testPolicy, 2)}
+	for _, d := range sides {
+		d.SetConnectedShare(now, 0.5)
+	}
+	audit := &retryAudit{}
+	use := func(d *Dispatcher) {
+		r := &d.pool("desk").retries
+		r.countRequest(now, testBounds)
+		audit.requests = append(audit.requests, now)
+		for r.allow(now, testBounds, d.retryShare(now)) {
+			audit.retries = append(audit.retries, now)
+		}
+	}
+	for range 500 {
+		now = now.Add(10 * time.Millisecond)
+		use(sides[0])
+		use(sides[1])
+	}
+	store := &retryStore{uses: make(map[string][]RetryUse), written: make(map[string]time.Time)}
+	store.write(now, sides[0], "instance-0", 0)
+	store.write(now, sides[1], "instance-1", 0)
+	remaining := sides[0]
+	remaining.SetConnectedShare(now, 1)
+	store.inherit(now, remaining, 0, "instance-0")
+	before := len(audit.retries)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		use(remaining)
+	}
+	if over := audit.excess(testBounds); over > 0 {
+		t.Errorf("%.0f retries more than agreed, %d of them after the cut", over, len(audit.retries)-before)
+	}
+}
+
+// Guards against an older record from a store that lost its last ones replacing what is
+// known, and against a record of any age or content that breaks the count.
+func TestOddRetryRecords(t *testing.T) {
+	f := newFixture(t, 2)
+	r := &f.d.pool("desk").retries
+	inherit := func(age time.Duration, u RetryUse) float64 {
+		u.Service = "desk"
+		f.d.InheritRetries(f.now, map[string][]RetryUse{"other": {u}}, map[string]time.Duration{"other": age})
+		used, _ := r.usage(f.now, testBounds, 1)
+		return used
+	}
+	base, _ := r.usage(f.now, testBounds, 1)
+	for name, c := range map[string]struct {
+		age time.Duration
+		use RetryUse
+	}{
+		"empty":          {0, RetryUse{}},
+		"long ago":       {time.Hour, RetryUse{Retries: []uint32{500}}},
+		"too many steps": {3 * testBounds.RetryWindow, RetryUse{Retries: make([]uint32, 5000), Requests: make([]uint32, 5000)}},
+	} {
+		if used := inherit(c.age, c.use); used != base {
+			t.Errorf("%s: %g retries counted, want %g", name, used, base)
+		}
+	}
+	if used := inherit(-time.Hour, RetryUse{Retries: []uint32{0, 30}, StepAgeMS: -5}); used != base+30 {
+		t.Errorf("record from the future: %g retries counted, want %g", used, base+30)
+	}
+	if used := inherit(0, RetryUse{Retries: []uint32{7}, StepAgeMS: math.MaxInt64}); used != base+30 {
+		t.Errorf("older record: %g retries counted, want %g as before", used, base+30)
+	}
+}
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -70,6 +70,9 @@
 	closed       bool
 	// rosterDelta holds the roster changes not yet sent to members.
 	rosterDelta rosterDelta
+	// retriesUnread is set while another coordinator may have recorded retries that
+	// are not known here.
+	retriesUnread bool
 }
 
 // runCoordinator runs this instance as the coordinator until it steps down.
@@ -87,7 +90,7 @@
 	log.WithFields(log.Fields{"event": "coordinator_started", "roster": len(f.replica.rosterWithout(""))}).Info("this instance is now the coordinator")
 	detach := f.member.attachLocal(ctx, c)
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){c.runDispatchTicks, c.sendHeartbeats, c.findOtherCoordinator, c.readStore, c.writeRecord} {
+	for _, run := range []func(context.Context){c.runDispatchTicks, c.sendHeartbeats, c.findOtherCoordinator, c.readStore, c.writeRecord, c.keepRetryRecords} {
 		wg.Go(func() { run(ctx) })
 	}
 	<-ctx.Done()
@@ -109,6 +112,7 @@
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
 	c.reader = newStoreReader(c)
+	c.dispatcher.AwaitRetryRecords()
 	r := f.replica
 	if x := r.index.Load(); x != nil {
 		c.dispatcher.SetConfig(now, x.Config)
@@ -168,6 +172,7 @@
 	}
 	session.lastSeen = now
 	c.sessions[session.peer.Address] = session
+	c.retriesUnread = c.retriesUnread || c.mayHaveFollowedAnother(session.peer.Address)
 	delete(c.unreachable, session.peer.Address)
 	delete(c.disconnected, session.peer.Address)
 	c.rosterDelta.join(session.peer)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,8 +52,19 @@
 	ClaimedMS int64 `json:"claimed_ms"`
 }
 
+// RetryRecord is what a coordinator counted of the retries, so that its successors stay
+// within the retry budgets.
+type RetryRecord struct {
+	// Address is that of the coordinator.
+	Address string `json:"address"`
+	// WrittenMS is when the record was made, in Unix milliseconds of the coordinator's
+	// clock.
+	WrittenMS int64               `json:"written_ms"`
+	Services  []dispatch.RetryUse `json:"services"`
+}
+
 // Source reads operator changes and the directory of backend servers from the
-// store. Offsets are those of the store; a negative offset reads everything.
+// store, and keeps the records of coordinators there. Offsets are those of the store; a negative offset reads everything.
 // Operator and Servers also return the offset for the next read.
 type Source interface {
 	// Operator returns changes made by operators, waiting up to wait for one.
@@ -66,6 +77,10 @@
 	// Claim writes a coordinator record if the topic still ends at offset at,
 	// or unconditionally if at is negative. It reports whether it was written.
 	Claim(ctx context.Context, call StoreCaller, r CoordinatorRecord, at int64) (bool, error)
+	// Retries returns the retry records of all coordinators.
+	Retries(ctx context.Context, call StoreCaller) ([]RetryRecord, error)
+	// RecordRetries replaces the retry record of a coordinator.
+	RecordRetries(ctx context.Context, call StoreCaller, r RetryRecord) error
 }
 
 // Options configure an instance.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -29,6 +29,9 @@
 	// silentInstances get no response, only a timeout.
 	silentInstances map[string]bool
 	callsByInstance map[string]int
+	// retries holds the retry records by coordinator, retryReads counts their reads.
+	retries    map[string]RetryRecord
+	retryReads int
 	// operatorDelay is how long a read of the operators' topic takes.
 	operatorDelay time.Duration
 	// onOperatorRead, if set, is called while an instance reads that topic.
@@ -121,6 +124,33 @@
 	return true, nil
 }
 
+func (s *fakeStore) Retries(ctx context.Context, call StoreCaller) ([]RetryRecord, error) {
+	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryReads++
+	var out []RetryRecord
+	for _, r := range s.retries {
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func (s *fakeStore) RecordRetries(ctx context.Context, call StoreCaller, r RetryRecord) error {
+	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retries == nil {
+		s.retries = make(map[string]RetryRecord)
+	}
+	s.retries[r.Address] = r
+	return nil
+}
+
 // testFleet is a fleet of instances within the test process.
 type testFleet struct {
 	t         *testing.T
@@ -235,10 +265,17 @@
 }
 
 func acquire(f *Fleet, d time.Duration) (*Permit, error) {
+	return acquireWith(f, d, func(*PermitRequest) {})
+}
+
+// acquireWith acquires a permit for a request that change alters.
+func acquireWith(f *Fleet, d time.Duration, change func(*PermitRequest)) (*Permit, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	now := time.Now()
-	return f.Acquire(ctx, PermitRequest{Route: "look", Deadline: now.Add(d), ArrivedAt: now})
+	r := PermitRequest{Route: "look", Deadline: now.Add(d), ArrivedAt: now}
+	change(&r)
+	return f.Acquire(ctx, r)
 }
 
 // Guards against a fleet without a coordinator, with two, or with members that
