dispatch: two tests of the retry budget fail without what they guard

TestSuccessorWithoutRecordsLeavesRoom and TestRetriesOfTheOtherSideCount passed with the records and the reserve taken out: their retries were spread over the whole window. They now come in its last second, and fail then.

--- a/internal/dispatch/retrybudget_test.go
+++ b/internal/dispatch/retrybudget_test.go
@@ -128,34 +128,45 @@
 	}
 }
 
-// Guards against a successor that cannot read the records and takes that for unused
-// budgets, and against one that refuses all retries for good.
-func TestSuccessorWithoutRecordsLeavesRoom(t *testing.T) {
-	now := time.Unix(1000, 0)
-	audit := &retryAudit{}
-	first := New(now, testBounds, &testPolicy, 1)
-	use := func(d *Dispatcher, d1 time.Duration) (allowed int) {
-		for end := now.Add(d1); now.Before(end); now = now.Add(10 * time.Millisecond) {
+// retryDay drives coordinators at 100 requests a second and audits what they allow.
+type retryDay struct {
+	now   time.Time
+	audit retryAudit
+}
+
+// run sends requests through each coordinator for a time. In its last part, retrying, each
+// is retried for as long as the budget allows. It returns the number of retries.
+func (y *retryDay) run(length, retrying time.Duration, coordinators ...*Dispatcher) (retries int) {
+	for left := length; left > 0; left -= 10 * time.Millisecond {
+		y.now = y.now.Add(10 * time.Millisecond)
+		for _, d := range coordinators {
 			r := &d.pool("desk").retries
-			r.countRequest(now, testBounds)
-			audit.requests = append(audit.requests, now)
-			for r.allow(now, testBounds, d.retryShare(now)) {
-				audit.retries = append(audit.retries, now)
-				allowed++
+			r.countRequest(y.now, testBounds)
+			y.audit.requests = append(y.audit.requests, y.now)
+			for left <= retrying && r.allow(y.now, testBounds, d.retryShare(y.now)) {
+				y.audit.retries = append(y.audit.retries, y.now)
+				retries++
 			}
 		}
-		return allowed
 	}
-	use(first, 10*time.Second)
-	second := New(now, testBounds, &testPolicy, 2)
-	second.AwaitRetryRecords()
-	if n := use(second, testBounds.RetryWindow); n == 0 {
+	return retries
+}
+
+// Guards against a successor that cannot read the records and takes that for unused
+// budgets, and against one that refuses all retries for good.
+func TestSuccessorWithoutRecordsLeavesRoom(t *testing.T) {
+	day := &retryDay{now: time.Unix(1000, 0)}
+	day.run(testBounds.RetryWindow, time.Second, New(day.now, testBounds, &testPolicy, 1))
+	successor := New(day.now, testBounds, &testPolicy, 2)
+	successor.AwaitRetryRecords()
+	almost := testBounds.RetryWindow - 20*time.Millisecond
+	if n := day.run(almost, almost, successor); n == 0 {
 		t.Error("no retry at all while the records cannot be read")
 	}
-	if n := use(second, testBounds.RetryWindow); n < 100 {
+	if n := day.run(testBounds.RetryWindow, testBounds.RetryWindow, successor); n < 100 {
 		t.Errorf("%d retries in the window after that, want a full budget", n)
 	}
-	if over := audit.excess(testBounds); over > 0 {
+	if over := day.audit.excess(testBounds); over > 0 {
 		t.Errorf("%.0f retries more than agreed", over)
 	}
 }
@@ -163,38 +174,20 @@
 // Guards against a coordinator that forgets the retries allowed on the other side of a
 // cut: the other one has stepped down, and its members have joined.
 func TestRetriesOfTheOtherSideCount(t *testing.T) {
-	now := time.Unix(1000, 0)
-	sides := [2]*Dispatcher{New(now, testBounds, &testPolicy, 1), New(now, testBounds, &testPolicy, 2)}
-	for _, d := range sides {
-		d.SetConnectedShare(now, 0.5)
-	}
-	audit := &retryAudit{}
-	use := func(d *Dispatcher) {
-		r := &d.pool("desk").retries
-		r.countRequest(now, testBounds)
-		audit.requests = append(audit.requests, now)
-		for r.allow(now, testBounds, d.retryShare(now)) {
-			audit.retries = append(audit.retries, now)
-		}
-	}
-	for range 500 {
-		now = now.Add(10 * time.Millisecond)
-		use(sides[0])
-		use(sides[1])
+	day := &retryDay{now: time.Unix(1000, 0)}
+	remaining, other := New(day.now, testBounds, &testPolicy, 1), New(day.now, testBounds, &testPolicy, 2)
+	for _, d := range []*Dispatcher{remaining, other} {
+		d.SetConnectedShare(day.now, 0.5)
 	}
+	ownRetries := day.run(testBounds.RetryWindow/2, time.Second, remaining)
+	otherRetries := day.run(testBounds.RetryWindow/4, time.Second, other)
 	store := &retryStore{uses: make(map[string][]RetryUse), written: make(map[string]time.Time)}
-	store.write(now, sides[0], "instance-0", 0)
-	store.write(now, sides[1], "instance-1", 0)
-	remaining := sides[0]
-	remaining.SetConnectedShare(now, 1)
-	store.inherit(now, remaining, 0, "instance-0")
-	before := len(audit.retries)
-	for range 200 {
-		now = now.Add(10 * time.Millisecond)
-		use(remaining)
-	}
-	if over := audit.excess(testBounds); over > 0 {
-		t.Errorf("%.0f retries more than agreed, %d of them after the cut", over, len(audit.retries)-before)
+	store.write(day.now, other, "other", 0)
+	remaining.SetConnectedShare(day.now, 1)
+	store.inherit(day.now, remaining, 0, "")
+	used, _ := remaining.pool("desk").retries.usage(day.now, testBounds, 1)
+	if otherRetries == 0 || used < float64(ownRetries+otherRetries) {
+		t.Errorf("%.0f retries counted, want at least %d and the other side's %d", used, ownRetries, otherRetries)
 	}
 }
 
