dispatch: retries count in the window in which they are sent

A retry was counted when it was asked for. One that then waited for a server arrived together with the retries of the next window.

Change: an allowed retry counts as waiting until it is sent, and in the window from then on. One that is refused or withdrawn while it waits no longer counts.

Test: TestRetriesCountWhenTheyAreSent, in which urgent requests hold all slots for 4 s, exceeds the bound by 161 retries on the code before and not after. TestRetriesThatAreNotSentCountNoLonger guards the other end.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -70,7 +70,7 @@
 	remaining := w.Deadline.Sub(now) - responseMargin
 	slack := time.Duration(d.policy.Admission.OverloadWaitShare * float64(w.route.Objective-w.stats.meanServiceTime))
 	if wait > remaining || p.utilisation(now, slots) > d.policy.Admission.OverloadLoad && wait > slack {
-		p.queue = slices.Delete(p.queue, position, position+1)
+		p.removeIf(func(q *queuedRequest) bool { return q == w })
 		d.refuse(&w.PermitRequest, errkind.Overloaded, max(overloadRetryMin, wait/2),
 			"%d requests ahead for %.1f slots, load %.2f, expected wait %v, time left %v", ahead-1, slots, p.utilisation(now, slots), wait, remaining)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -57,12 +57,15 @@
 	p.queue[at] = w
 }
 
-// removeIf removes the requests that match.
+// removeIf removes the requests that match. They will not be sent.
 func (p *pool) removeIf(match func(*queuedRequest) bool) {
 	kept := p.queue[:0]
 	for _, w := range p.queue {
-		if !match(w) {
+		switch {
+		case !match(w):
 			kept = append(kept, w)
+		case w.IsRetry:
+			p.retries.drop()
 		}
 	}
 	clear(p.queue[len(kept):])
@@ -176,6 +179,9 @@
 	s.running++
 	s.lastUsed, s.untested = now, false
 	s.recordPaced(now)
+	if w.IsRetry {
+		p.retries.send(now, d.bounds)
+	}
 	pm := &permit{
 		number: d.permitSeq, member: w.Member, server: s.ID, service: w.Service, via: d.sendingInstance(now, s, w.Member),
 		fingerprint: w.Fingerprint, route: w.Route, grantedAt: now, repeatable: w.route.Kind.Repeatable(),
--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -55,6 +55,9 @@
 // retryBudget limits the retries of a service, which all coordinators of a window share.
 type retryBudget struct {
 	own retryWindow
+	// waiting counts the retries that are allowed and not sent yet. They count in the
+	// window in which they are sent.
+	waiting int
 	// inherited holds what other coordinators counted, by their addresses, and under
 	// "" what they may have used without a record.
 	inherited map[string]*retryWindow
@@ -80,18 +83,29 @@
 	r.own.requests[0]++
 }
 
-// allow counts a retry and returns true if the budget has room for it.
+// allow returns true if the budget has room for a retry, which counts as waiting until
+// send or drop is called.
 func (r *retryBudget) allow(now time.Time, b Bounds, share float64) bool {
 	used, limit := r.usage(now, b, share)
 	if used+1 > limit {
 		r.refused++
 		return false
 	}
+	r.waiting++
+	return true
+}
+
+// send counts a waiting retry in the current window.
+func (r *retryBudget) send(now time.Time, b Bounds) {
+	r.waiting--
+	r.own.advance(now, b.RetryWindow)
 	r.own.retries[0]++
 	r.sinceRecord++
-	return true
 }
 
+// drop forgets a waiting retry, which will not be sent.
+func (r *retryBudget) drop() { r.waiting-- }
+
 // remaining returns the unused share of the budget.
 func (r *retryBudget) remaining(now time.Time, b Bounds, share float64) float64 {
 	used, limit := r.usage(now, b, share)
@@ -101,9 +115,10 @@
 	return max(0, 1-used/limit)
 }
 
-// usage returns the retries in the window and how many are allowed.
+// usage returns the retries that wait or are in the window, and how many are allowed.
 func (r *retryBudget) usage(now time.Time, b Bounds, share float64) (used, limit float64) {
 	requests, used := r.own.totals(now, b.RetryWindow)
+	used += float64(r.waiting)
 	for _, w := range r.inherited {
 		q, n := w.totals(now, b.RetryWindow)
 		requests, used = requests+q, used+n
--- a/internal/dispatch/retrybudget_test.go
+++ b/internal/dispatch/retrybudget_test.go
@@ -7,6 +7,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/catalog"
 )
 
 // Guards against refused retries that no log line explains.
@@ -110,6 +112,7 @@
 			r.countRequest(now, testBounds)
 			audit.requests = append(audit.requests, now)
 			for now.After(burstFrom) && r.allow(now, testBounds, d.retryShare(now)) {
+				r.send(now, testBounds)
 				audit.retries = append(audit.retries, now)
 				if rng.IntN(4) == 0 {
 					break
@@ -144,6 +147,7 @@
 			r.countRequest(y.now, testBounds)
 			y.audit.requests = append(y.audit.requests, y.now)
 			for left <= retrying && r.allow(y.now, testBounds, d.retryShare(y.now)) {
+				r.send(y.now, testBounds)
 				y.audit.retries = append(y.audit.retries, y.now)
 				retries++
 			}
@@ -222,3 +226,106 @@
 		t.Errorf("older record: %g retries counted, want %g as before", used, base+30)
 	}
 }
+
+// Guards against retries that are counted when they are asked for and reach servers
+// seconds later, together with those of the next window.
+func TestRetriesCountWhenTheyAreSent(t *testing.T) {
+	const (
+		step        = 10 * time.Millisecond
+		serviceTime = 300 * time.Millisecond
+	)
+	f := newFixture(t, 0)
+	f.d.index.RouteByName("look").Objective = 20 * time.Second
+	for i := range 20 {
+		f.server(i, func(s *catalog.Server) { s.Slots = 5 })
+	}
+	audit := &retryAudit{}
+	isRetry := make(map[uint64]bool)
+	type running struct {
+		permit *Permit
+		until  time.Time
+	}
+	var inFlight []running
+	receive := func(decisions []Decision) {
+		for _, d := range decisions {
+			if d.Permit == nil {
+				continue
+			}
+			if isRetry[d.RequestNumber] {
+				audit.retries = append(audit.retries, f.now)
+			}
+			inFlight = append(inFlight, running{d.Permit, f.now.Add(serviceTime)})
+		}
+	}
+	ask := func(route string, retry bool) {
+		if !retry {
+			audit.requests = append(audit.requests, f.now)
+		}
+		receive(f.request(route, func(r *PermitRequest) {
+			r.Deadline, r.IsRetry, r.Admitted = f.now.Add(20*time.Second), retry, retry
+			isRetry[r.Number] = retry
+		}))
+	}
+	start := f.now
+	for at := time.Duration(0); at < 25*time.Second; at += step {
+		f.now = start.Add(at)
+		for len(inFlight) > 0 && !inFlight[0].until.After(f.now) {
+			p := inFlight[0].permit
+			inFlight = inFlight[1:]
+			receive(f.d.Done(f.now, Report{Permit: p.Number, Member: "a0", Server: p.Server.ID, Outcome: Served, Took: serviceTime}))
+		}
+		// More urgent requests take all slots for four seconds.
+		urgent := 1
+		if at >= 9*time.Second && at < 13*time.Second {
+			urgent = 4
+		}
+		for range urgent {
+			ask("book", false)
+		}
+		// Retries come as that begins, and once more as soon as the first ones are older
+		// than the window.
+		if at >= 9500*time.Millisecond && at < 10*time.Second || at > 20500*time.Millisecond && at < 22*time.Second {
+			for range 20 {
+				ask("look", true)
+			}
+		}
+		receive(f.d.Tick(f.now))
+	}
+	waited := countWithin(audit.retries, start.Add(12*time.Second), start.Add(16*time.Second))
+	if over := audit.excess(testBounds); over > 0 || waited < 100 {
+		t.Errorf("%.0f retries more than agreed in %v; %.0f of %d had waited", over, testBounds.RetryWindow, waited, len(audit.retries))
+	}
+}
+
+// Guards against budgets that stay spent by retries which were never sent: their callers
+// have left, their instance is lost, their route is gone, or they were refused.
+func TestRetriesThatAreNotSentCountNoLonger(t *testing.T) {
+	for name, end := range map[string]func(f *fixture){
+		"withdrawn": func(f *fixture) {
+			for n := range f.next {
+				f.d.Withdraw("a0", n+1)
+			}
+		},
+		"instance lost": func(f *fixture) { f.d.RemoveMember(f.now, "a0") },
+		"route gone":    func(f *fixture) { f.d.SetConfig(f.now, &catalog.Config{Version: 2}) },
+		"refused":       func(f *fixture) { f.now = f.now.Add(1900 * time.Millisecond); f.d.Tick(f.now) },
+	} {
+		f := newFixture(t, 1)
+		f.permit("book")
+		f.permit("book")
+		r := &f.d.pool("desk").retries
+		before, _ := r.usage(f.now, testBounds, 1)
+		for range 3 {
+			if out := f.request("look", func(r *PermitRequest) { r.IsRetry, r.Admitted = true, true }); len(out) != 0 {
+				t.Fatalf("%s: decided at once: %+v", name, out)
+			}
+		}
+		if during, _ := r.usage(f.now, testBounds, 1); during != before+3 {
+			t.Errorf("%s: %g retries counted while they wait, want %g", name, during, before+3)
+		}
+		end(f)
+		if after, _ := r.usage(f.now, testBounds, 1); after > before {
+			t.Errorf("%s: %g retries counted, %g before they were asked for", name, after, before)
+		}
+	}
+}
