fleet: the era of the store's responses is read, also through relays

No log line told that the store had come back from an older copy of itself, so the hypotheses on CONFIG could not be checked. Nothing is decided by it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,9 +37,18 @@
 	Wait time.Duration
 }
 
+// StoreAnswer is the store's response to a call.
+type StoreAnswer struct {
+	Status int
+	Body   []byte
+	// Era rises by one each time the store comes back from an older copy of itself, in
+	// which its last records are missing; 0 if the store does not name it.
+	Era uint64
+}
+
 // StoreCaller makes calls to the store, directly or relayed by another instance.
 type StoreCaller interface {
-	Call(ctx context.Context, call StoreCall) (status int, body []byte, err error)
+	Call(ctx context.Context, call StoreCall) (StoreAnswer, error)
 }
 
 // CoordinatorRecord names the instance that last claimed the role of coordinator
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -29,6 +29,8 @@
 	// silentInstances get no response, only a timeout.
 	silentInstances map[string]bool
 	callsByInstance map[string]int
+	// era is that of the store's responses.
+	era uint64
 	// retries holds the retry records by coordinator, retryReads counts their reads.
 	retries    map[string]RetryRecord
 	retryReads int
@@ -47,29 +49,32 @@
 }
 
 // Call implements StoreCaller. It only checks whether the instance is served.
-func (c *fakeStoreCaller) Call(ctx context.Context, _ StoreCall) (int, []byte, error) {
+func (c *fakeStoreCaller) Call(ctx context.Context, _ StoreCall) (StoreAnswer, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	if c.store.silentInstances[c.instance] {
 		c.store.mu.Unlock()
 		<-ctx.Done()
 		c.store.mu.Lock()
-		return 0, nil, ctx.Err()
+		return StoreAnswer{}, ctx.Err()
 	}
 	if c.store.refusedInstances[c.instance] {
-		return 0, nil, errRefused
+		return StoreAnswer{}, errRefused
 	}
 	c.store.callsByInstance[c.instance]++
-	return 200, nil, nil
+	return StoreAnswer{Status: 200, Era: c.store.era}, nil
 }
 
 func (s *fakeStore) Operator(ctx context.Context, call StoreCaller, from int64, wait time.Duration) ([]catalog.Change, int64, error) {
-	if _, _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
 		return nil, from, err
 	}
 	s.mu.Lock()
 	delay, onRead := s.operatorDelay, s.onOperatorRead
 	s.mu.Unlock()
+	if o, ok := call.(*eraObserver); ok {
+		call = o.caller
+	}
 	if c, ok := call.(*fakeStoreCaller); ok && onRead != nil {
 		onRead(c.instance)
 	}
@@ -89,7 +94,7 @@
 }
 
 func (s *fakeStore) Servers(ctx context.Context, call StoreCaller, _ int64) ([]catalog.Change, int64, error) {
-	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
@@ -102,7 +107,7 @@
 }
 
 func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error) {
-	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
@@ -111,7 +116,7 @@
 }
 
 func (s *fakeStore) Claim(ctx context.Context, call StoreCaller, r CoordinatorRecord, at int64) (bool, error) {
-	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
 		return false, err
 	}
 	s.mu.Lock()
@@ -125,7 +130,7 @@
 }
 
 func (s *fakeStore) Retries(ctx context.Context, call StoreCaller) ([]RetryRecord, error) {
-	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -139,7 +144,7 @@
 }
 
 func (s *fakeStore) RecordRetries(ctx context.Context, call StoreCaller, r RetryRecord) error {
-	if _, _, err := call.Call(ctx, StoreCall{}); err != nil {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -51,6 +51,8 @@
 	failingSince time.Time
 	// relayChanged is closed when relay changes.
 	relayChanged chan struct{}
+	// era is the highest era that the store has named.
+	era uint64
 }
 
 func newStoreReader(c *coordinator) *storeReader {
@@ -199,9 +201,9 @@
 // callerVia returns a caller that goes through a relay; "" means directly.
 func (r *storeReader) callerVia(relay string) StoreCaller {
 	if relay == "" {
-		return r.coordinator.fleet.opts.Store
+		return &eraObserver{reader: r, caller: r.coordinator.fleet.opts.Store}
 	}
-	return &relayCaller{fleet: r.coordinator.fleet, address: relay}
+	return &eraObserver{reader: r, caller: &relayCaller{fleet: r.coordinator.fleet, address: relay}}
 }
 
 // recordFailure switches to another relay and backs off exponentially.
@@ -297,13 +299,13 @@
 }
 
 // Call implements StoreCaller.
-func (r *relayCaller) Call(ctx context.Context, c StoreCall) (int, []byte, error) {
+func (r *relayCaller) Call(ctx context.Context, c StoreCall) (StoreAnswer, error) {
 	conn := r.fleet.peerConns.get(ctx, r.address)
 	answer, err := peerpb.NewDRPCCoordinationClient(conn).Relay(ctx, &peerpb.StoreCall{
 		Method: c.Method, Path: c.Path, Body: c.Body, WaitMs: uint32(c.Wait.Milliseconds()),
 	})
 	if err != nil {
-		return 0, nil, err
+		return StoreAnswer{}, err
 	}
-	return int(answer.Status), answer.Body, nil
+	return StoreAnswer{Status: int(answer.Status), Body: answer.Body, Era: answer.Era}, nil
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -34,11 +34,11 @@
 	wait := time.Duration(c.WaitMs) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout+wait)
 	defer cancel()
-	status, body, err := s.fleet.opts.Store.Call(ctx, StoreCall{Method: c.Method, Path: c.Path, Body: c.Body, Wait: wait})
+	answer, err := s.fleet.opts.Store.Call(ctx, StoreCall{Method: c.Method, Path: c.Path, Body: c.Body, Wait: wait})
 	if err != nil {
 		return nil, fmt.Errorf("relay call to the store: %w", err)
 	}
-	return &peerpb.StoreAnswer{Status: int32(status), Body: body}, nil
+	return &peerpb.StoreAnswer{Status: int32(answer.Status), Body: answer.Body, Era: answer.Era}, nil
 }
 
 // Attend implements peerpb.DRPCCoordinationServer.
