fleet: a log that was rewritten is read from its beginning

Fault: after the store came back from an older copy, its log can grow past the reader's offset before the next read. No 410 comes then, and the records written in between are never read: a change of the configuration is not in force, a server stays unknown, until its next record.

Cause: an offset was taken for a position in the log for good. Change: a position is era and offset; when the era has risen, the whole state is read.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,14 +72,26 @@
 	Services  []dispatch.RetryUse `json:"services"`
 }
 
+// Position is where the next read of a topic of the store starts. Offsets of another era
+// say nothing: they are given out again.
+type Position struct {
+	Era uint64
+	// Offset is negative if everything is to be read.
+	Offset int64
+}
+
+// Everything is the position of a reader that has read nothing.
+var Everything = Position{Offset: -1}
+
 // Source reads operator changes and the directory of backend servers from the
-// store, and keeps the records of coordinators there. Offsets are those of the store; a negative offset reads everything.
-// Operator and Servers also return the offset for the next read.
+// store, and keeps the records of coordinators there. Operator and Servers also return
+// the position for the next read. A response of an earlier era than that of the position
+// is an error.
 type Source interface {
 	// Operator returns changes made by operators, waiting up to wait for one.
-	Operator(ctx context.Context, call StoreCaller, from int64, wait time.Duration) ([]catalog.Change, int64, error)
+	Operator(ctx context.Context, call StoreCaller, from Position, wait time.Duration) ([]catalog.Change, Position, error)
 	// Servers returns changes of the directory of backend servers.
-	Servers(ctx context.Context, call StoreCaller, from int64) ([]catalog.Change, int64, error)
+	Servers(ctx context.Context, call StoreCaller, from Position) ([]catalog.Change, Position, error)
 	// Coordinator returns the coordinator record, or nil, and the end offset of
 	// its topic.
 	Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -65,7 +65,7 @@
 	return StoreAnswer{Status: 200, Era: c.store.era}, nil
 }
 
-func (s *fakeStore) Operator(ctx context.Context, call StoreCaller, from int64, wait time.Duration) ([]catalog.Change, int64, error) {
+func (s *fakeStore) Operator(ctx context.Context, call StoreCaller, from Position, wait time.Duration) ([]catalog.Change, Position, error) {
 	if _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
 		return nil, from, err
 	}
@@ -81,7 +81,7 @@
 	sleep(ctx, delay)
 	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		config, version := s.config, s.version
+		config, version := s.config, Position{Offset: s.version}
 		s.mu.Unlock()
 		if version != from || time.Now().After(until) || ctx.Err() != nil {
 			if version == from {
@@ -93,9 +93,9 @@
 	}
 }
 
-func (s *fakeStore) Servers(ctx context.Context, call StoreCaller, _ int64) ([]catalog.Change, int64, error) {
+func (s *fakeStore) Servers(ctx context.Context, call StoreCaller, from Position) ([]catalog.Change, Position, error) {
 	if _, err := call.Call(ctx, StoreCall{}); err != nil {
-		return nil, 0, err
+		return nil, from, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,7 +103,7 @@
 	for id, v := range s.servers {
 		servers[id] = v
 	}
-	return []catalog.Change{{Servers: &servers}}, 0, nil
+	return []catalog.Change{{Servers: &servers}}, Position{}, nil
 }
 
 func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error) {
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -38,8 +38,8 @@
 // to this instance, other instances relay the calls.
 type storeReader struct {
 	coordinator *coordinator
-	// operatorOffset is where the next read of the operators' topic starts.
-	operatorOffset int64
+	// operatorFrom is where the next read of the operators' topic starts.
+	operatorFrom Position
 	// operatorReadAt is when the operators' topic was last read; nil if never.
 	operatorReadAt atomic.Pointer[time.Time]
 
@@ -56,7 +56,7 @@
 }
 
 func newStoreReader(c *coordinator) *storeReader {
-	return &storeReader{coordinator: c, operatorOffset: -1, relayChanged: make(chan struct{})}
+	return &storeReader{coordinator: c, operatorFrom: Everything, relayChanged: make(chan struct{})}
 }
 
 func (c *coordinator) readStore(ctx context.Context) {
@@ -68,15 +68,15 @@
 }
 
 func (r *storeReader) pollDirectory(ctx context.Context) {
-	offset := int64(-1)
+	from := Everything
 	for ctx.Err() == nil {
-		result := r.readDirectoryHedged(ctx, r.readRelays(), offset)
+		result := r.readDirectoryHedged(ctx, r.readRelays(), from)
 		if result.err != nil {
 			r.recordFailure(ctx, result.relay, result.err)
 			continue
 		}
 		r.recordSuccess(result.relay)
-		offset = result.next
+		from = result.next
 		r.coordinator.applyChanges(result.changes)
 		sleep(ctx, directoryPollInterval)
 	}
@@ -86,22 +86,22 @@
 type topicRead struct {
 	relay   string
 	changes []catalog.Change
-	next    int64
+	next    Position
 	err     error
 }
 
 // readDirectoryHedged reads the directory through several instances in parallel.
-func (r *storeReader) readDirectoryHedged(ctx context.Context, relays []string, offset int64) topicRead {
+func (r *storeReader) readDirectoryHedged(ctx context.Context, relays []string, from Position) topicRead {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	return r.readHedged(callCtx, relays, func(ctx context.Context, call StoreCaller) ([]catalog.Change, int64, error) {
-		return r.coordinator.fleet.opts.Source.Servers(ctx, call, offset)
+	return r.readHedged(callCtx, relays, func(ctx context.Context, call StoreCaller) ([]catalog.Change, Position, error) {
+		return r.coordinator.fleet.opts.Source.Servers(ctx, call, from)
 	})
 }
 
 // readHedged makes a read through several instances in parallel and returns the
 // first success, or the last failure.
-func (r *storeReader) readHedged(ctx context.Context, relays []string, read func(context.Context, StoreCaller) ([]catalog.Change, int64, error)) topicRead {
+func (r *storeReader) readHedged(ctx context.Context, relays []string, read func(context.Context, StoreCaller) ([]catalog.Change, Position, error)) topicRead {
 	results := make(chan topicRead, len(relays))
 	for _, relay := range relays {
 		go func() {
@@ -136,14 +136,14 @@
 func (r *storeReader) readOperatorFirst(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, firstReadTimeout)
 	defer cancel()
-	read := r.readHedged(callCtx, append(r.coordinator.sampleRoster(hedgedReads), ""), func(ctx context.Context, call StoreCaller) ([]catalog.Change, int64, error) {
-		return r.coordinator.fleet.opts.Source.Operator(ctx, call, -1, 0)
+	read := r.readHedged(callCtx, append(r.coordinator.sampleRoster(hedgedReads), ""), func(ctx context.Context, call StoreCaller) ([]catalog.Change, Position, error) {
+		return r.coordinator.fleet.opts.Source.Operator(ctx, call, Everything, 0)
 	})
 	if read.err != nil {
 		log.WithField("event", "store_unavailable").WithError(read.err).Warn("could not read the operators' changes before the first permit")
 		return
 	}
-	r.operatorOffset = read.next
+	r.operatorFrom = read.next
 	r.coordinator.applyChanges(read.changes)
 	r.recordOperatorRead()
 }
@@ -175,7 +175,7 @@
 			case <-stop:
 			}
 		}()
-		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, r.operatorOffset, wait)
+		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, r.operatorFrom, wait)
 		close(stop)
 		cancel()
 		if err != nil {
@@ -184,7 +184,7 @@
 			}
 			continue
 		}
-		r.operatorOffset = next
+		r.operatorFrom = next
 		r.coordinator.applyChanges(changes)
 		r.recordOperatorRead()
 	}
--- a/internal/fleet/read_test.go
+++ b/internal/fleet/read_test.go
@@ -20,7 +20,7 @@
 }
 
 // Servers implements Source.
-func (source *barrierSource) Servers(ctx context.Context, _ StoreCaller, _ int64) ([]catalog.Change, int64, error) {
+func (source *barrierSource) Servers(ctx context.Context, _ StoreCaller, from Position) ([]catalog.Change, Position, error) {
 	source.mu.Lock()
 	source.waitingCalls++
 	if source.waitingCalls == source.wantCalls {
@@ -29,12 +29,12 @@
 	source.mu.Unlock()
 	select {
 	case <-source.allWaiting:
-		return nil, 7, nil
+		return nil, Position{Offset: 7}, nil
 	case <-ctx.Done():
 		source.mu.Lock()
 		source.waitingCalls--
 		source.mu.Unlock()
-		return nil, 0, ctx.Err()
+		return nil, from, ctx.Err()
 	}
 }
 
@@ -56,8 +56,8 @@
 	// The read is repeated, since a loaded machine may not start all calls within
 	// one timeout. Sequential calls would never overlap.
 	eventually(t, "concurrent calls through all members", func() bool {
-		result := r.readDirectoryHedged(context.Background(), r.readRelays(), -1)
-		return result.err == nil && result.next == 7
+		result := r.readDirectoryHedged(context.Background(), r.readRelays(), Everything)
+		return result.err == nil && result.next.Offset == 7
 	})
 }
 
