fleet: nothing older is in force after the store came back from a copy

Fault: when the store comes back from an older copy, the coordinator replaced the directory and the failure domains that are out by those of the copy, until everything was written again: servers that had left or were draining got requests, so did failure domains that operators had emptied, and servers that had joined got none.

Cause: the whole list was taken for the newest state, whatever it was read after. Change: lists read after the era has risen are marked as outdated. Nothing of them replaces what is known; entries that are older (incarnation, sequence) or of unknown servers are not used until they are written again. Members know the last settled era, so a successor does the same.

TestPlatformStoreRestored on the code before: 55 and 38 requests to a server of an emptied failure domain, 1 and 2 to a server that had left, with the coordinator running and killed; none after.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -121,13 +121,23 @@
 	Slots   int
 	// Draining servers get no new requests.
 	Draining bool
-	// Incarnation tells successive servers with the same ID apart.
+	// Incarnation tells successive servers with the same ID apart. It rises.
 	Incarnation int64
+	// Sequence counts the entries of an incarnation.
+	Sequence int64
 	// Cold is how long the server stays cold, counted from when the entry was
 	// read.
 	Cold time.Duration
 }
 
+// Before reports whether an entry is older than another one of the same server.
+func (s *Server) Before(other *Server) bool {
+	if s.Incarnation != other.Incarnation {
+		return s.Incarnation < other.Incarnation
+	}
+	return s.Sequence < other.Sequence
+}
+
 // Change is one update read from the store. One of its fields is set, except
 // that Err may be set together with RemovedServer.
 type Change struct {
@@ -143,6 +153,9 @@
 	// history was lost.
 	Servers    *map[string]Server
 	DomainsOut *[]string
+	// Outdated is set if Servers or DomainsOut come from a store that has lost its last
+	// records: they may be older than what was read before.
+	Outdated bool
 	// Err says why a record could not be read.
 	Err error
 }
--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -19,18 +19,18 @@
 	case ch.Config != nil:
 		c.applyConfig(now, ch.Config, delta)
 	case ch.Server != nil:
+		delete(c.superseded, ch.Server.ID)
 		c.applyServer(now, *ch.Server, delta)
 	case ch.RemovedServer != "":
+		delete(c.superseded, ch.RemovedServer)
 		c.removeServer(ch.RemovedServer, delta)
+	case ch.Servers != nil && ch.Outdated:
+		c.applyOutdatedServers(now, *ch.Servers, delta)
 	case ch.Servers != nil:
-		for id := range c.knownServers() {
-			if _, ok := (*ch.Servers)[id]; !ok {
-				c.removeServer(id, delta)
-			}
-		}
-		for _, s := range *ch.Servers {
-			c.applyServer(now, s, delta)
-		}
+		c.applyServers(now, *ch.Servers, delta)
+	case ch.DomainsOut != nil && ch.Outdated:
+		// What operators took out of service or returned since stays so; they write
+		// it again.
 	case ch.DomainOut != "" || ch.DomainBack != "" || ch.DomainsOut != nil:
 		c.applyDomains(now, ch, delta)
 	}
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -73,6 +73,11 @@
 	// retriesUnread is set while another coordinator may have recorded retries that
 	// are not known here.
 	retriesUnread bool
+	// superseded holds entries of an older copy of the directory that are not used
+	// until their servers write again.
+	superseded map[string]catalog.Server
+	// settledEras is the era of the store that each topic's reader has settled in.
+	settledEras map[storeTopic]uint64
 }
 
 // runCoordinator runs this instance as the coordinator until it steps down.
@@ -108,7 +113,8 @@
 	now := time.Now()
 	c := &coordinator{
 		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
-		disconnected: make(map[string]time.Time), startedAt: now, rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
+		disconnected: make(map[string]time.Time), startedAt: now, superseded: make(map[string]catalog.Server),
+		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
 	c.reader = newStoreReader(c)
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -38,8 +38,8 @@
 // to this instance, other instances relay the calls.
 type storeReader struct {
 	coordinator *coordinator
-	// operatorFrom is where the next read of the operators' topic starts.
-	operatorFrom Position
+	// operators follows the operators' topic.
+	operators follower
 	// operatorReadAt is when the operators' topic was last read; nil if never.
 	operatorReadAt atomic.Pointer[time.Time]
 
@@ -56,7 +56,7 @@
 }
 
 func newStoreReader(c *coordinator) *storeReader {
-	return &storeReader{coordinator: c, operatorFrom: Everything, relayChanged: make(chan struct{})}
+	return &storeReader{coordinator: c, operators: newFollower(c.fleet.replica.era()), relayChanged: make(chan struct{})}
 }
 
 func (c *coordinator) readStore(ctx context.Context) {
@@ -68,16 +68,18 @@
 }
 
 func (r *storeReader) pollDirectory(ctx context.Context) {
-	from := Everything
+	directory := newFollower(r.coordinator.fleet.replica.era())
 	for ctx.Err() == nil {
+		from := directory.next(time.Now())
 		result := r.readDirectoryHedged(ctx, r.readRelays(), from)
 		if result.err != nil {
 			r.recordFailure(ctx, result.relay, result.err)
 			continue
 		}
 		r.recordSuccess(result.relay)
-		from = result.next
+		directory.advance(time.Now(), from, result.changes, result.next)
 		r.coordinator.applyChanges(result.changes)
+		r.coordinator.noteSettled(directoryTopic, directory.settled(time.Now()))
 		sleep(ctx, directoryPollInterval)
 	}
 }
@@ -136,14 +138,15 @@
 func (r *storeReader) readOperatorFirst(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, firstReadTimeout)
 	defer cancel()
+	from := r.operators.from
 	read := r.readHedged(callCtx, append(r.coordinator.sampleRoster(hedgedReads), ""), func(ctx context.Context, call StoreCaller) ([]catalog.Change, Position, error) {
-		return r.coordinator.fleet.opts.Source.Operator(ctx, call, Everything, 0)
+		return r.coordinator.fleet.opts.Source.Operator(ctx, call, from, 0)
 	})
 	if read.err != nil {
 		log.WithField("event", "store_unavailable").WithError(read.err).Warn("could not read the operators' changes before the first permit")
 		return
 	}
-	r.operatorFrom = read.next
+	r.operators.advance(time.Now(), from, read.changes, read.next)
 	r.coordinator.applyChanges(read.changes)
 	r.recordOperatorRead()
 }
@@ -175,7 +178,8 @@
 			case <-stop:
 			}
 		}()
-		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, r.operatorFrom, wait)
+		from := r.operators.next(time.Now())
+		changes, next, err := r.coordinator.fleet.opts.Source.Operator(callCtx, caller, from, wait)
 		close(stop)
 		cancel()
 		if err != nil {
@@ -184,8 +188,9 @@
 			}
 			continue
 		}
-		r.operatorFrom = next
+		r.operators.advance(time.Now(), from, changes, next)
 		r.coordinator.applyChanges(changes)
+		r.coordinator.noteSettled(operatorTopic, r.operators.settled(time.Now()))
 		r.recordOperatorRead()
 	}
 }
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -32,6 +32,8 @@
 	// domainsOut holds the failure domains that are out of service.
 	domainsOut map[string]bool
 	roster     map[string]Peer
+	// storeEra is the era of the store up to which all that was confirmed is known.
+	storeEra   uint64
 	suspicions []dispatch.Suspicion
 	// suspectedAt is when the suspicions were received.
 	suspectedAt time.Time
@@ -137,6 +139,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.storeEra = max(m.storeEra, s.StoreEra)
 	if !s.HasRoster {
 		for _, p := range s.Roster {
 			m.roster[p.Address] = peerFromProto(p)
@@ -173,10 +176,17 @@
 	return nil
 }
 
+// era returns the era of the store up to which all that was confirmed is known.
+func (m *replica) era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.storeEra
+}
+
 // completeState returns a message with the whole state except for the backend
 // servers and suspicions.
 func (m *replica) completeState() (*peerpb.FleetState, error) {
-	s := &peerpb.FleetState{Complete: true, HasDomainsOut: true, HasRoster: true, ConfigVersion: m.configVersion()}
+	s := &peerpb.FleetState{Complete: true, HasDomainsOut: true, HasRoster: true, ConfigVersion: m.configVersion(), StoreEra: m.era()}
 	encoded, err := m.encodedConfig()
 	if err != nil {
 		return nil, err
@@ -207,14 +217,14 @@
 func serverToProto(s catalog.Server, cold time.Duration) *peerpb.ServerEntry {
 	return &peerpb.ServerEntry{
 		Id: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: uint32(s.Slots),
-		Draining: s.Draining, Born: s.Incarnation, ColdMs: uint32(max(0, cold).Milliseconds()),
+		Draining: s.Draining, Born: s.Incarnation, Sequence: s.Sequence, ColdMs: uint32(max(0, cold).Milliseconds()),
 	}
 }
 
 func serverFromProto(e *peerpb.ServerEntry) catalog.Server {
 	return catalog.Server{
 		ID: e.Id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots),
-		Draining: e.Draining, Incarnation: e.Born, Cold: time.Duration(e.ColdMs) * time.Millisecond,
+		Draining: e.Draining, Incarnation: e.Born, Sequence: e.Sequence, Cold: time.Duration(e.ColdMs) * time.Millisecond,
 	}
 }
 
--- a/internal/fleet/standby.go
+++ b/internal/fleet/standby.go
@@ -65,9 +65,9 @@
 func (c *coordinator) broadcast(state *peerpb.FleetState) {
 	withoutServers := &peerpb.FleetState{
 		Config: state.Config, HasDomainsOut: state.HasDomainsOut, DomainsOut: state.DomainsOut,
-		Roster: state.Roster, RosterGone: state.RosterGone,
+		Roster: state.Roster, RosterGone: state.RosterGone, StoreEra: state.StoreEra,
 	}
-	affectsAllMembers := len(state.Config) > 0 || state.HasDomainsOut || len(state.Roster) > 0 || len(state.RosterGone) > 0
+	affectsAllMembers := len(state.Config) > 0 || state.HasDomainsOut || len(state.Roster) > 0 || len(state.RosterGone) > 0 || state.StoreEra > 0
 	for _, session := range c.sessions {
 		switch {
 		case session.standby:
