--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// add adds the counts of another window, step by step.
+func (w *retryWindow) add(other *retryWindow) {
+	for i := range w.requests {
+		w.requests[i] += other.requests[i]
+		w.retries[i] += other.retries[i]
+	}
+}
+
 // totals returns the requests and the retries of the window.
 func (w *retryWindow) totals(now time.Time, window time.Duration) (requests, retries float64) {
 	w.advance(now, window)
@@ -183,21 +191,18 @@
 	var out []RetryUse
 	for name, p := range d.pools {
 		r := &p.retries
-		requests, retries := r.own.totals(now, d.bounds.RetryWindow)
+		r.own.advance(now, d.bounds.RetryWindow)
+		counted := r.own
 		if earlier := r.inherited[self]; earlier != nil {
-			q, n := earlier.totals(now, d.bounds.RetryWindow)
-			requests, retries = requests+q, retries+n
+			earlier.advance(now, d.bounds.RetryWindow)
+			counted.add(earlier)
 		}
-		if retries == 0 {
+		if _, retries := counted.totals(now, d.bounds.RetryWindow); retries == 0 {
 			continue
 		}
-		u := RetryUse{Service: name, StepAgeMS: now.Sub(r.own.stepStartedAt).Milliseconds()}
-		for i := range r.own.retries {
-			q, n := r.own.requests[i], r.own.retries[i]
-			if earlier := r.inherited[self]; earlier != nil {
-				q, n = q+earlier.requests[i], n+earlier.retries[i]
-			}
-			u.Requests, u.Retries = append(u.Requests, uint32(q)), append(u.Retries, uint32(n))
+		u := RetryUse{Service: name, StepAgeMS: now.Sub(counted.stepStartedAt).Milliseconds()}
+		for i := range counted.retries {
+			u.Requests, u.Retries = append(u.Requests, uint32(counted.requests[i])), append(u.Retries, uint32(counted.retries[i]))
 		}
 		u.Retries[0] += uint32(d.retriesAhead(now, r))
 		r.sinceRecord, r.recordedAt = 0, now
