fleet: a coordinator that stepped down follows the only other instance it knows

Fault: it took its roster without itself, one entry, for no roster, looked for a coordinator in the store, found its own record and took over again, once a second for good; callers of that instance were served by a coordinator of its own. With two others known, both gone, it never took over at all. Found by the test for records of a restored store; it needs an instance that knows one or no live instance.

Change: it looks in the store only if it knows no other instance, or none of them can be reached and it is not a candidate itself.

TestInstanceThatSteppedDownFollowsTheOnlyOther: two of three cases fail on the code before.

--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -126,11 +126,11 @@
 // runRound queries the first candidates in succession order for their coordinator
 // and decides what to do next.
 func (f *coordinatorFinder) runRound(ctx context.Context, round int) election.Action {
+	self := f.fleet.opts.Self.Address
 	roster := f.fleet.replica.rosterWithout(f.lostCoordinator)
-	if len(roster) <= 1 {
+	if !slices.ContainsFunc(roster, func(p Peer) bool { return p.Address != self }) {
 		return f.bootstrap(ctx)
 	}
-	self := f.fleet.opts.Self.Address
 	candidates := election.Candidates(election.SuccessionOrder(roster), self, round/2)
 	addresses := make([]string, 0, len(candidates)+1)
 	for _, c := range candidates {
@@ -142,6 +142,10 @@
 		addresses = append(addresses, f.lostCoordinator)
 	}
 	replies := f.queryAll(ctx, addresses)
+	if f.lostCoordinator == self && !slices.ContainsFunc(replies, func(r election.Reply) bool { return r.Reached }) {
+		// This instance has stepped down and is no candidate, but nobody else is left.
+		return f.bootstrap(ctx)
+	}
 	return election.Decide(self, candidates, replies, f.lostCoordinator, f.blockedCoordinators(), round >= skipCandidateRounds)
 }
 
--- a/internal/fleet/discovery_test.go
+++ b/internal/fleet/discovery_test.go
@@ -86,3 +86,29 @@
 		t.Errorf("decided %+v after %+v, want to follow %s", a, replies, coordinator)
 	}
 }
+
+// Guards against a coordinator that has stepped down and takes over again and again, since
+// it knows a single other instance, and against one that never does although nobody else
+// is left.
+func TestInstanceThatSteppedDownFollowsTheOnlyOther(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	eventually(t, "a coordinator", func() bool { return fleet.ready(-1) })
+	other := fleet.instances[0].opts.Self
+	for name, c := range map[string]struct {
+		known []Peer
+		want  election.Action
+	}{
+		"the other coordinates": {[]Peer{other}, election.Action{Attach: other.Address}},
+		"the other is gone":     {[]Peer{{Address: "127.0.0.1:1", Domain: "a"}}, election.Action{TakeOver: true}},
+		"all others are gone":   {[]Peer{{Address: "127.0.0.1:1", Domain: "a"}, {Address: "127.0.0.1:3", Domain: "b"}}, election.Action{TakeOver: true}},
+	} {
+		store := &fakeStore{callsByInstance: make(map[string]int)}
+		f := New(Options{Self: Peer{Name: "self", Address: "127.0.0.1:2", Domain: "a"}, Source: store, Store: &fakeStoreCaller{store: store, instance: "self"}})
+		f.replica.setRoster(append(c.known, f.opts.Self))
+		finder := &coordinatorFinder{fleet: f, startedAt: time.Now().Add(-time.Minute)}
+		finder.markLost(f.opts.Self.Address)
+		if got := finder.runRound(context.Background(), 0); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
