fleet: the coordinator is recorded again after the store came back from a copy

Fault: a restored store names an older coordinator, or none, for good. An instance that starts then and reaches no seed claims the role beside a live coordinator, and neither learns of the other: two sets of rates and retries.

Change: when the store's era has risen, the coordinator reads the record, asks whom it names, and replaces it if it has not changed meanwhile. Being asked makes the other instance know the asker, so the one with fewer members steps down. The retry record is written again within a second anyway, while there are retries.

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -73,6 +73,8 @@
 	// retriesUnread is set while another coordinator may have recorded retries that
 	// are not known here.
 	retriesUnread bool
+	// recordsLost tells that the store may hold an older coordinator record.
+	recordsLost chan struct{}
 	// superseded holds entries of an older copy of the directory that are not used
 	// until their servers write again.
 	superseded map[string]catalog.Server
@@ -95,7 +97,7 @@
 	log.WithFields(log.Fields{"event": "coordinator_started", "roster": len(f.replica.rosterWithout(""))}).Info("this instance is now the coordinator")
 	detach := f.member.attachLocal(ctx, c)
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){c.runDispatchTicks, c.sendHeartbeats, c.findOtherCoordinator, c.readStore, c.writeRecord, c.keepRetryRecords} {
+	for _, run := range []func(context.Context){c.runDispatchTicks, c.sendHeartbeats, c.findOtherCoordinator, c.readStore, c.keepRecord, c.keepRetryRecords} {
 		wg.Go(func() { run(ctx) })
 	}
 	<-ctx.Done()
@@ -113,7 +115,7 @@
 	now := time.Now()
 	c := &coordinator{
 		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
-		disconnected: make(map[string]time.Time), startedAt: now, superseded: make(map[string]catalog.Server),
+		disconnected: make(map[string]time.Time), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
 		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -81,13 +81,13 @@
 	sleep(ctx, delay)
 	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		config, version := s.config, Position{Offset: s.version}
+		config, version, era := s.config, Position{Era: s.era, Offset: s.version}, s.era
 		s.mu.Unlock()
 		if version != from || time.Now().After(until) || ctx.Err() != nil {
 			if version == from {
 				return nil, from, ctx.Err()
 			}
-			return []catalog.Change{{Config: config}}, version, nil
+			return []catalog.Change{{Config: config, Outdated: from.Era != 0 && era > from.Era}}, version, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -103,7 +103,7 @@
 	for id, v := range s.servers {
 		servers[id] = v
 	}
-	return []catalog.Change{{Servers: &servers}}, Position{}, nil
+	return []catalog.Change{{Servers: &servers, Outdated: from.Era != 0 && s.era > from.Era}}, Position{Era: s.era}, nil
 }
 
 func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error) {
@@ -191,6 +191,12 @@
 }
 
 func (fleet *testFleet) add(i int) *Fleet {
+	fleet.t.Helper()
+	return fleet.addWith(i, func(*Options) {})
+}
+
+// addWith adds an instance whose options change alters.
+func (fleet *testFleet) addWith(i int, change func(*Options)) *Fleet {
 	fleet.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -208,6 +214,7 @@
 	} else {
 		opts.Seeds = []string{opts.Self.Address}
 	}
+	change(&opts)
 	f := New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -189,6 +189,9 @@
 			continue
 		}
 		r.operators.advance(time.Now(), from, changes, next)
+		if isOutdated(changes) {
+			r.coordinator.noteRecordsLost()
+		}
 		r.coordinator.applyChanges(changes)
 		r.coordinator.noteSettled(operatorTopic, r.operators.settled(time.Now()))
 		r.recordOperatorRead()
@@ -275,28 +278,6 @@
 	return out
 }
 
-// writeRecord writes the coordinator record to the store, so that starting
-// instances find this coordinator. A coordinator that claimed its record at start
-// writes it twice, which is harmless.
-func (c *coordinator) writeRecord(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, recordDelay)
-		if ctx.Err() != nil {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		_, err := c.fleet.opts.Source.Claim(callCtx, c.fleet.opts.Store, c.fleet.newRecord(), -1)
-		cancel()
-		if err == nil {
-			return
-		}
-	}
-}
-
-// recordDelay is the time before each attempt to write the coordinator record. It
-// saves the store call of a coordinator that soon steps down.
-const recordDelay = time.Second
-
 // relayCaller makes store calls that another instance relays.
 type relayCaller struct {
 	fleet   *Fleet
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -157,3 +157,54 @@
 		t.Errorf("a successor reads from %+v", from)
 	}
 }
+
+// restore makes the fake store come back from a copy without the fleet's own records.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.coordinator, s.retries = nil, nil
+}
+
+// Guards against the fleet's own records staying lost after the store was restored: who
+// coordinates, and the retries that were allowed.
+func TestOwnRecordsAreWrittenAgain(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	fleet.store.mu.Lock()
+	fleet.store.era = 1
+	fleet.store.mu.Unlock()
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
+	fleet.awaitRetryReads(1)
+	allowed := spendRetries(t, coordinator)
+	eventually(t, "the retries are recorded", func() bool { return fleet.recordedRetries() >= allowed })
+	eventually(t, "the era has settled", func() bool { return coordinator.replica.era() == 1 })
+	fleet.store.restore()
+	eventually(t, "the retries are recorded again", func() bool { return fleet.recordedRetries() >= allowed })
+	eventually(t, "the coordinator is recorded again", func() bool {
+		fleet.store.mu.Lock()
+		defer fleet.store.mu.Unlock()
+		return fleet.store.coordinator != nil && fleet.store.coordinator.Address == coordinator.opts.Self.Address
+	})
+}
+
+// Guards against two coordinators for good: an instance starts while the record of the
+// live one is lost, reaches no seed, and claims the role.
+func TestInstanceThatClaimedAfterARestoreStepsDown(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	fleet.store.mu.Lock()
+	fleet.store.era = 1
+	fleet.store.mu.Unlock()
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
+	eventually(t, "the era has settled", func() bool { return coordinator.replica.era() == 1 })
+	fleet.store.restore()
+	seeds := func(o *Options) { o.Seeds = []string{"127.0.0.1:1"} }
+	newcomer := fleet.addWith(2, seeds)
+	eventually(t, "the newcomer has claimed the role", func() bool { return len(fleet.coordinators(-1)) == 2 })
+	eventually(t, "the newcomer follows the coordinator that has more members", func() bool {
+		newcomer.mu.Lock()
+		defer newcomer.mu.Unlock()
+		return newcomer.coordinator == nil && newcomer.followedCoordinator == coordinator.opts.Self.Address
+	})
+}
