dispatch: key and service of a request come from one version

The entry checked the key by its version, the coordinator chose the service by a newer one; versions in between had taken keys away and moved the route. With seven versions read at once after the store was away, a request can fall between them.

Change: a request for a permit names the version by which it was resolved; the coordinator has it resolved again if that is not its own.

Tests: two, failing without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 	// Resubmitted is set if a coordinator that was lost may already have
 	// admitted the request.
 	Resubmitted bool
+	// ConfigVersion is that of the configuration by which the member resolved the
+	// request; 0 if it does not say.
+	ConfigVersion uint64
 }
 
 // Permit allows one request to be sent to a server once.
@@ -278,6 +281,11 @@
 	case w.route == nil:
 		d.refuse(&req, errkind.StaleConfiguration, 0, "configuration %d of the coordinator has no route %q", d.index.Config.Version, req.Route)
 		return d.flush()
+	case req.ConfigVersion != 0 && req.ConfigVersion != d.index.Config.Version:
+		// The service is chosen here, the key was checked there: both must hold in one
+		// version.
+		d.refuse(&req, errkind.StaleConfiguration, 0, "resolved by configuration %d, the coordinator has %d", req.ConfigVersion, d.index.Config.Version)
+		return d.flush()
 	case d.crashes.quarantined(now, req.Fingerprint):
 		d.refuse(&req, errkind.QuarantinedRequest, 0, "request fingerprint %x: servers dropped %d connections", req.Fingerprint, d.policy.Crash.QuarantineDrops)
 		return d.flush()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -430,6 +430,18 @@
 	}
 }
 
+// Guards against choosing the service by another version of the configuration than that by
+// which the key was checked.
+func TestRequestOfAnotherVersionIsResolvedAgain(t *testing.T) {
+	f := newFixture(t, 2)
+	for version, want := range map[uint64]errkind.Kind{0: "", 1: "", 2: errkind.StaleConfiguration, 7: errkind.StaleConfiguration} {
+		out := f.request("book", func(r *PermitRequest) { r.ConfigVersion = version })
+		if len(out) != 1 || (out[0].Refusal == nil) != (want == "") || want != "" && out[0].Refusal.Kind != want {
+			t.Errorf("resolved by version %d, the coordinator has 1: %+v, want refusal %q", version, out, want)
+		}
+	}
+}
+
 // Measures a request from its permit request to its report, by the number of servers of
 // its service.
 func BenchmarkAskAndDone(b *testing.B) {
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -280,7 +280,7 @@
 func permitRequestFromProto(now time.Time, p Peer, ask *peerpb.Ask) dispatch.PermitRequest {
 	return dispatch.PermitRequest{
 		Member: p.Address, Number: ask.Number, Domain: p.Domain, Route: ask.Route, Team: ask.Team, Service: ask.Service,
-		ExcludedServers: ask.Avoid, Fingerprint: ask.Fingerprint, IsRetry: ask.Repeat, Admitted: ask.Admitted, Resubmitted: ask.Reasked,
+		ExcludedServers: ask.Avoid, Fingerprint: ask.Fingerprint, IsRetry: ask.Repeat, Admitted: ask.Admitted, Resubmitted: ask.Reasked, ConfigVersion: ask.ConfigVersion,
 		Deadline:  now.Add(time.Duration(ask.LeftMs) * time.Millisecond),
 		ArrivedAt: now.Add(-time.Duration(ask.WaitedMs) * time.Millisecond),
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -33,6 +33,8 @@
 	// Admitted is set if an earlier attempt was counted against the team's rate
 	// limit.
 	Admitted bool
+	// ConfigVersion is that of the configuration by which the request was resolved.
+	ConfigVersion uint64
 }
 
 // Permit allows one attempt of a request.
@@ -164,7 +166,7 @@
 	return &peerpb.Ask{
 		Number: id, Route: p.Route, Team: p.Team, Service: p.Service, Avoid: p.ExcludedServers,
 		LeftMs: uint32(max(0, p.Deadline.Sub(now)).Milliseconds()), WaitedMs: uint32(now.Sub(p.ArrivedAt).Milliseconds()),
-		Fingerprint: p.Fingerprint, Repeat: p.IsRetry, Admitted: p.Admitted, Reasked: p.resubmitted,
+		Fingerprint: p.Fingerprint, Repeat: p.IsRetry, Admitted: p.Admitted, Reasked: p.resubmitted, ConfigVersion: p.ConfigVersion,
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -269,6 +269,7 @@
 	p, err := r.h.fleet.Acquire(acquireCtx, fleet.PermitRequest{
 		Route: r.route.Name, Team: r.team, Service: r.service, ExcludedServers: r.triedServers, Fingerprint: r.fingerprint,
 		Deadline: r.deadline, ArrivedAt: r.in.Arrived, IsRetry: r.reachedServer, Admitted: r.admitted,
+		ConfigVersion: r.index.Config.Version,
 	})
 	if err != nil && ctx.Err() == nil && r.h.sending.Err() != nil {
 		return nil, &fleet.Refused{Kind: errkind.Stopping, RetryAfter: stoppingRetryAfter, Reason: "instance ends before a backend server would respond"}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -32,6 +32,8 @@
 	// both.
 	freshness  fleet.Freshness
 	beforeLook func(f *fakeFleet)
+	// beforeAcquire, if set, may refuse a permit.
+	beforeAcquire func(f *fakeFleet, r fleet.PermitRequest) error
 
 	steps    []step
 	acquired []fleet.PermitRequest
@@ -54,6 +56,11 @@
 
 func (f *fakeFleet) Acquire(ctx context.Context, r fleet.PermitRequest) (*fleet.Permit, error) {
 	f.acquired = append(f.acquired, r)
+	if f.beforeAcquire != nil {
+		if err := f.beforeAcquire(f, r); err != nil {
+			return nil, err
+		}
+	}
 	if f.waiting != nil {
 		close(f.waiting)
 		<-ctx.Done()
@@ -236,6 +243,25 @@
 	}
 }
 
+// Guards against a request whose key is valid by one version and whose service is that of
+// another: the key was taken away while the coordinator had the newer version already.
+func TestKeyAndServiceComeFromOneVersion(t *testing.T) {
+	f := &fakeFleet{steps: []step{{outcome: dispatch.Served, status: 200}}}
+	f.beforeAcquire = func(f *fakeFleet, r fleet.PermitRequest) error {
+		if r.ConfigVersion != 1 {
+			return nil
+		}
+		changed := *index().Config
+		changed.Version = 2
+		changed.Teams = []catalog.Team{{Name: "t"}}
+		f.index = catalog.NewIndex(&changed)
+		return &fleet.Refused{Kind: errkind.StaleConfiguration}
+	}
+	if s, _ := serveOne(t, f, "/b/x", "k"); s.Kind != errkind.UnknownKey || len(f.sent) > 0 {
+		t.Errorf("kind %q, sent %d times, want a refusal of the key", s.Kind, len(f.sent))
+	}
+}
+
 // Guards against a new route that is refused as unknown, or a new key, by an instance
 // that lost its coordinator before it learned of the change: the request waits until the
 // instance follows a coordinator again.
