fleet: successors know the requests that bring servers down

Same cause as the retry budget, found by looking for it elsewhere: the count of servers that a request has brought down was the memory of one coordinator, so such a request could reach three more servers after each change.

Change: the record of the retries holds the requests with two drops or more, a hundred at most, and is written as soon as there is a new one. Successors go on from those counts.

TestSuccessorRefusesRequestsThatBringServersDown fails if the records are not taken over; the count itself is tested in dispatch.

--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -164,8 +164,12 @@
 	minRetriesAhead = 4
 )
 
-// RetryRecordDue reports whether successors need a new record of the retries.
+// RetryRecordDue reports whether successors need a new record of the retries, or of the
+// requests that bring servers down.
 func (d *Dispatcher) RetryRecordDue(now time.Time) bool {
+	if d.crashes.unrecorded {
+		return true
+	}
 	for _, p := range d.pools {
 		r := &p.retries
 		_, own := r.own.totals(now, d.bounds.RetryWindow)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 }
 
 // RetryRecord is what a coordinator counted of the retries, so that its successors stay
-// within the retry budgets.
+// within the retry budgets and do not repeat what brings servers down.
 type RetryRecord struct {
 	// Address is that of the coordinator.
 	Address string `json:"address"`
@@ -70,6 +70,8 @@
 	// clock.
 	WrittenMS int64               `json:"written_ms"`
 	Services  []dispatch.RetryUse `json:"services"`
+	// Crashes counts the requests that bring servers down.
+	Crashes []dispatch.CrashCount `json:"crashes,omitempty"`
 }
 
 // Position is where the next read of a topic of the store starts. Offsets of another era
--- a/internal/fleet/retryrecord.go
+++ b/internal/fleet/retryrecord.go
@@ -77,6 +77,9 @@
 		uses[r.Address], ages[r.Address] = r.Services, now.Sub(time.UnixMilli(r.WrittenMS))
 	}
 	c.mu.Lock()
+	for _, r := range records {
+		c.dispatcher.InheritCrashes(now, ages[r.Address], r.Crashes)
+	}
 	c.dispatcher.InheritRetries(now, uses, ages)
 	c.mu.Unlock()
 	log.WithFields(log.Fields{"event": "retry_records_read", "coordinators": len(uses)}).Debug("retries of other coordinators known")
@@ -89,7 +92,7 @@
 	c.mu.Lock()
 	record := RetryRecord{
 		Address: c.fleet.opts.Self.Address, WrittenMS: now.UnixMilli(),
-		Services: c.dispatcher.RetryRecord(now, c.fleet.opts.Self.Address),
+		Services: c.dispatcher.RetryRecord(now, c.fleet.opts.Self.Address), Crashes: c.dispatcher.CrashRecord(now),
 	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
--- a/internal/fleet/retryrecord_test.go
+++ b/internal/fleet/retryrecord_test.go
@@ -130,3 +130,44 @@
 		t.Errorf("%d retries allowed beside the 60 of another coordinator", n)
 	}
 }
+
+// Guards against a successor that does not read which requests bring servers down.
+func TestSuccessorRefusesRequestsThatBringServersDown(t *testing.T) {
+	const fingerprint = 99
+	fleet := newTestFleet(t, 3)
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	fleet.awaitRetryReads(1)
+	coordinator := fleet.coordinators(-1)[0]
+	next := fleet.instances[(coordinator+1)%3]
+	ask := func() error {
+		p, err := acquireWith(next, 5*time.Second, func(r *PermitRequest) { r.Fingerprint = fingerprint })
+		if err == nil {
+			next.Release(p, dispatch.Dropped, time.Millisecond, 0)
+		}
+		return err
+	}
+	eventually(t, "the coordinator refuses the request", func() bool {
+		var refused *Refused
+		return errors.As(ask(), &refused) && refused.Kind == errkind.QuarantinedRequest
+	})
+	eventually(t, "that is recorded", func() bool {
+		fleet.store.mu.Lock()
+		defer fleet.store.mu.Unlock()
+		for _, r := range fleet.store.retries {
+			if len(r.Crashes) == 1 && r.Crashes[0].Fingerprint == fingerprint {
+				return true
+			}
+		}
+		return false
+	})
+	fleet.store.mu.Lock()
+	reads := fleet.store.retryReads
+	fleet.store.mu.Unlock()
+	fleet.stops[coordinator]()
+	eventually(t, "a successor", func() bool { return fleet.ready(coordinator) })
+	fleet.awaitRetryReads(reads + 1)
+	var refused *Refused
+	if err := ask(); !errors.As(err, &refused) || refused.Kind != errkind.QuarantinedRequest {
+		t.Errorf("the successor answers %v, want a refusal", err)
+	}
+}
