--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -157,11 +157,11 @@
 	// retryRecordInterval is the time between records of the retries, while there are
 	// more than a successor assumes.
 	retryRecordInterval = time.Second
-	// retriesAhead and minRetriesAhead are how many retries a record holds beyond those
-	// that were allowed, as a share of the limit and as a least number. A new record is
-	// due once half of them are used.
-	retriesAhead    = 0.1
-	minRetriesAhead = 4
+	// aheadShare and minAhead are how many retries a record holds beyond those that were
+	// sent, as a share of the limit and as a least number. A new record is due once half
+	// of them are used.
+	aheadShare = 0.1
+	minAhead   = 4
 )
 
 // RetryRecordDue reports whether successors need a new record of the retries, or of the
@@ -176,16 +176,18 @@
 		if own <= unrecordedRetryShare*d.bounds.RetrySlack {
 			continue
 		}
-		if now.Sub(r.recordedAt) >= retryRecordInterval || float64(r.sinceRecord) >= d.retriesAhead(now, r)/2 {
+		if now.Sub(r.recordedAt) >= retryRecordInterval || float64(r.sinceRecord) >= d.recordedAhead(now, r)/2 {
 			return true
 		}
 	}
 	return false
 }
 
-func (d *Dispatcher) retriesAhead(now time.Time, r *retryBudget) float64 {
+// recordedAhead returns how many retries a record holds beyond those that were sent, so
+// that it covers what is sent until the next one.
+func (d *Dispatcher) recordedAhead(now time.Time, r *retryBudget) float64 {
 	_, limit := r.usage(now, d.bounds, d.retryShare(now))
-	return max(minRetriesAhead, retriesAhead*limit)
+	return max(minAhead, aheadShare*limit)
 }
 
 // RetryRecord returns what a successor needs to know about the retries, for each service
@@ -208,7 +210,7 @@
 		for i := range counted.retries {
 			u.Requests, u.Retries = append(u.Requests, uint32(counted.requests[i])), append(u.Retries, uint32(counted.retries[i]))
 		}
-		u.Retries[0] += uint32(d.retriesAhead(now, r))
+		u.Retries[0] += uint32(d.recordedAhead(now, r))
 		r.sinceRecord, r.recordedAt = 0, now
 		out = append(out, u)
 	}
--- a/internal/fleet/retryrecord.go
+++ b/internal/fleet/retryrecord.go
@@ -16,6 +16,8 @@
 	// retryRecordsReadInterval is the time between reads of the other coordinators'
 	// records.
 	retryRecordsReadInterval = time.Second
+	// retryRecordBackoff is the time between attempts while the store does not answer.
+	retryRecordBackoff = 500 * time.Millisecond
 )
 
 // mayHaveFollowedAnother reports whether a member that joins may have followed another
@@ -27,32 +29,64 @@
 	return !lost || cutOff
 }
 
+// retryKeeper decides when the coordinator reads the retry records of others and writes its
+// own. It is not safe for concurrent use.
+type retryKeeper struct {
+	startedAt time.Time
+	// window is the retry window, after which an earlier coordinator's retries no longer
+	// count.
+	window time.Duration
+	// known is set once the records were read. The first read comes before the first
+	// record: that replaces one which an earlier coordinator on this instance has left.
+	known         bool
+	readAt        time.Time
+	writeFailedAt time.Time
+}
+
+// readDue reports whether to read now. unread is set while there may be records that are
+// not known.
+func (k *retryKeeper) readDue(now time.Time, unread bool) bool {
+	if !k.known {
+		return now.Sub(k.readAt) >= retryRecordBackoff && now.Sub(k.startedAt) < k.window
+	}
+	return unread && now.Sub(k.readAt) >= retryRecordsReadInterval
+}
+
+// writeDue reports whether to write now. changed is set if successors need a new record.
+func (k *retryKeeper) writeDue(now time.Time, changed bool) bool {
+	if !k.known && now.Sub(k.startedAt) < k.window {
+		return false
+	}
+	if k.writeFailedAt.IsZero() {
+		return changed
+	}
+	return now.Sub(k.writeFailedAt) >= retryRecordBackoff
+}
+
 // keepRetryRecords reads what other coordinators recorded of their retries, and records
-// those of this one. It reads first, as its own record replaces one that an earlier
-// coordinator on this instance has left; after a whole window that one no longer counts.
+// those of this one.
 func (c *coordinator) keepRetryRecords(ctx context.Context) {
-	known, failed := false, false
-	var readAt time.Time
+	k := &retryKeeper{startedAt: c.startedAt, window: c.fleet.opts.Bounds.RetryWindow}
 	for ; ctx.Err() == nil; sleep(ctx, retryRecordPoll) {
+		now := time.Now()
 		c.mu.Lock()
-		unread := c.retriesUnread && time.Since(readAt) >= retryRecordsReadInterval
-		if unread {
+		read := k.readDue(now, c.retriesUnread)
+		if read {
 			c.retriesUnread = false
 		}
-		due := failed || c.dispatcher.RetryRecordDue(time.Now())
 		c.mu.Unlock()
-		if !known || unread {
-			readAt = time.Now()
-			if c.readRetryRecords(ctx, !known) {
-				known = true
-			} else if unread {
-				c.mu.Lock()
-				c.retriesUnread = true
-				c.mu.Unlock()
-			}
+		if read {
+			k.readAt = now
+			k.known = c.readRetryRecords(ctx, !k.known) || k.known
 		}
-		if due && (known || time.Since(c.startedAt) > c.fleet.opts.Bounds.RetryWindow) {
-			failed = !c.recordRetries(ctx)
+		c.mu.Lock()
+		write := k.writeDue(now, c.dispatcher.RetryRecordDue(now))
+		c.mu.Unlock()
+		if write {
+			k.writeFailedAt = time.Time{}
+			if !c.recordRetries(ctx) {
+				k.writeFailedAt = time.Now()
+			}
 		}
 	}
 }
@@ -66,6 +100,9 @@
 	_, caller, _ := c.reader.currentCaller()
 	records, err := c.fleet.opts.Source.Retries(callCtx, caller)
 	if err != nil {
+		c.mu.Lock()
+		c.retriesUnread = true
+		c.mu.Unlock()
 		return false
 	}
 	now := time.Now()
--- a/internal/fleet/retryrecord_test.go
+++ b/internal/fleet/retryrecord_test.go
@@ -171,3 +171,30 @@
 		t.Errorf("the successor answers %v, want a refusal", err)
 	}
 }
+
+// Guards against calls to a store that does not answer ten times a second, and against a
+// record that replaces the one of an earlier coordinator on the same instance unread.
+func TestRetryRecordsBackOff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	k := &retryKeeper{startedAt: start, window: 10 * time.Second}
+	reads, writes := 0, 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(retryRecordPoll) {
+		if k.readDue(now, true) {
+			reads++
+			k.readAt = now
+		}
+		if k.writeDue(now, true) {
+			writes++
+			if now.Sub(start) < k.window {
+				t.Fatalf("a record %v after the start, before the first read", now.Sub(start))
+			}
+			k.writeFailedAt = now
+		}
+	}
+	if most := int(k.window / retryRecordBackoff); reads > most || reads < most-1 {
+		t.Errorf("%d reads in a window, want about %d, and none after it", reads, most)
+	}
+	if most := int((time.Minute - k.window) / retryRecordBackoff); writes > most || writes < most-1 {
+		t.Errorf("%d attempts to write, want about %d", writes, most)
+	}
+}
