fleet: a whole list read soon after a restore is outdated, whatever made it be read

By reading: if the store deletes its history within the 3 s after it came back from a copy, the whole directory is read again without a new era and was taken for the newest state. It is marked as outdated until all is written again. TestFollowerReadsAgainAfterARestore has the case.

--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -46,11 +46,17 @@
 	return f.from
 }
 
-// advance notes a read, from a position that next returned, and its result.
+// advance notes a read, from a position that next returned, and its result. Whole lists
+// that come while others are still writing again, since the store has deleted its history,
+// are marked as outdated as well.
 func (f *follower) advance(now time.Time, from Position, changes []catalog.Change, next Position) {
 	switch {
 	case isOutdated(changes):
 		f.rereadAt, f.settledAt = now.Add(rewriteTime), now.Add(settleTime)
+	case now.Before(f.rereadAt):
+		for i := range changes {
+			changes[i].Outdated = changes[i].Servers != nil || changes[i].DomainsOut != nil
+		}
 	case from.Offset < 0:
 		f.rereadAt = time.Time{}
 	}
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -119,6 +119,14 @@
 	if from := read(nil, Position{5, 22}); from != (Position{5, 20}) {
 		t.Errorf("second read from %+v", from)
 	}
+	list := serverList(false)
+	if read([]catalog.Change{list}, Position{5, 22}); !f.rereadAt.Equal(now.Add(rewriteTime)) {
+		t.Errorf("everything is read again at %v, want %v", f.rereadAt, now.Add(rewriteTime))
+	}
+	changes := []catalog.Change{list}
+	if read(changes, Position{5, 22}); !changes[0].Outdated {
+		t.Error("a whole list that comes before all is written again is taken for the newest state")
+	}
 	now = now.Add(rewriteTime)
 	if from := read(nil, Position{5, 23}); from != (Position{5, -1}) || f.settled(now) != 0 {
 		t.Errorf("read from %+v once all is written again, settled in era %d", from, f.settled(now))
