--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// newSettledFleet returns a fleet of two whose store is in its first era, and its
+// coordinator.
+func newSettledFleet(t *testing.T) (*testFleet, *Fleet) {
+	t.Helper()
+	fleet := newTestFleet(t, 2)
+	fleet.store.mu.Lock()
+	fleet.store.era = 1
+	fleet.store.mu.Unlock()
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
+	eventually(t, "the era has settled", func() bool { return coordinator.replica.era() == 1 })
+	return fleet, coordinator
+}
+
 // restore makes the fake store come back from a copy without the fleet's own records.
 func (s *fakeStore) restore() {
 	s.mu.Lock()
@@ -177,16 +191,10 @@
 // Guards against the fleet's own records staying lost after the store was restored: who
 // coordinates, and the retries that were allowed.
 func TestOwnRecordsAreWrittenAgain(t *testing.T) {
-	fleet := newTestFleet(t, 2)
-	fleet.store.mu.Lock()
-	fleet.store.era = 1
-	fleet.store.mu.Unlock()
-	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
-	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
+	fleet, coordinator := newSettledFleet(t)
 	fleet.awaitRetryReads(1)
 	allowed := spendRetries(t, coordinator)
 	eventually(t, "the retries are recorded", func() bool { return fleet.recordedRetries() >= allowed })
-	eventually(t, "the era has settled", func() bool { return coordinator.replica.era() == 1 })
 	fleet.store.restore()
 	eventually(t, "the retries are recorded again", func() bool { return fleet.recordedRetries() >= allowed })
 	eventually(t, "the coordinator is recorded again", func() bool {
@@ -199,13 +207,7 @@
 // Guards against two coordinators for good: an instance starts while the record of the
 // live one is lost, reaches no seed, and claims the role.
 func TestInstanceThatClaimedAfterARestoreStepsDown(t *testing.T) {
-	fleet := newTestFleet(t, 2)
-	fleet.store.mu.Lock()
-	fleet.store.era = 1
-	fleet.store.mu.Unlock()
-	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
-	coordinator := fleet.instances[fleet.coordinators(-1)[0]]
-	eventually(t, "the era has settled", func() bool { return coordinator.replica.era() == 1 })
+	fleet, coordinator := newSettledFleet(t)
 	fleet.store.restore()
 	seeds := func(o *Options) { o.Seeds = []string{"127.0.0.1:1"} }
 	newcomer := fleet.addWith(2, seeds)
