fleet: starting instances do not wait for each other

An instance that has been asked by a single other one took that one for its roster and asked only it; two such instances asked each other for ever, never a seed or the store.

Change: a single known instance is no roster, as before, except after stepping down; and an instance that has stepped down looks at seeds and store whenever the others name nobody, as it is no candidate itself.

--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -128,7 +128,11 @@
 func (f *coordinatorFinder) runRound(ctx context.Context, round int) election.Action {
 	self := f.fleet.opts.Self.Address
 	roster := f.fleet.replica.rosterWithout(f.lostCoordinator)
-	if !slices.ContainsFunc(roster, func(p Peer) bool { return p.Address != self }) {
+	// An instance that was asked by a single other one has no roster yet, and that one may
+	// know no more. After stepping down, a single other one is what its roster is without
+	// itself.
+	steppedDown := f.lostCoordinator == self
+	if len(roster) == 0 || len(roster) == 1 && !steppedDown {
 		return f.bootstrap(ctx)
 	}
 	candidates := election.Candidates(election.SuccessionOrder(roster), self, round/2)
@@ -142,11 +146,12 @@
 		addresses = append(addresses, f.lostCoordinator)
 	}
 	replies := f.queryAll(ctx, addresses)
-	if f.lostCoordinator == self && !slices.ContainsFunc(replies, func(r election.Reply) bool { return r.Reached }) {
-		// This instance has stepped down and is no candidate, but nobody else is left.
+	action := election.Decide(self, candidates, replies, f.lostCoordinator, f.blockedCoordinators(), round >= skipCandidateRounds)
+	if steppedDown && action == (election.Action{}) {
+		// This instance is no candidate, so it would wait for ever if nobody else takes over.
 		return f.bootstrap(ctx)
 	}
-	return election.Decide(self, candidates, replies, f.lostCoordinator, f.blockedCoordinators(), round >= skipCandidateRounds)
+	return action
 }
 
 func (f *coordinatorFinder) blockedCoordinators() map[string]bool {
--- a/internal/fleet/discovery_test.go
+++ b/internal/fleet/discovery_test.go
@@ -112,3 +112,18 @@
 		}
 	}
 }
+
+// Guards against two starting instances that ask only each other for ever: each has been
+// asked by the other, and neither has a roster.
+func TestInstanceAskedByAnotherStillLooksForTheCoordinator(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	eventually(t, "a coordinator", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.instances[0].opts.Self
+	store := &fakeStore{callsByInstance: make(map[string]int)}
+	f := New(Options{Self: Peer{Name: "self", Address: "127.0.0.1:2", Domain: "a"}, Seeds: []string{coordinator.Address}, Source: store, Store: &fakeStoreCaller{store: store, instance: "self"}})
+	f.replica.addPeer(Peer{Address: "127.0.0.1:1", Domain: "a"})
+	finder := &coordinatorFinder{fleet: f, startedAt: time.Now().Add(-time.Minute)}
+	if got, want := finder.runRound(context.Background(), 0), (election.Action{Attach: coordinator.Address}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
