--- a/review/runner/fleet.go
+++ b/review/runner/fleet.go
@@ -23,12 +23,14 @@
 type instance struct {
 	name, zone            string
 	callers, checks, peer string
-	cmd                   *exec.Cmd
-	exited                chan struct{}
-	log                   string
-	mu                    sync.Mutex
-	inRotation            bool
-	misses                int
+	// cores is the machine's share of processors.
+	cores      string
+	cmd        *exec.Cmd
+	exited     chan struct{}
+	log        string
+	mu         sync.Mutex
+	inRotation bool
+	misses     int
 }
 
 // fleet starts instances and is their load balancer.
@@ -56,7 +58,7 @@
 
 // newInstance returns an instance with addresses of its own that is not started yet.
 func (f *fleet) newInstance(name, zone string) *instance {
-	return &instance{name: name, zone: zone, callers: freeAddress(), checks: freeAddress(), peer: freeAddress(), log: filepath.Join(f.dir, name+".log")}
+	return &instance{name: name, zone: zone, cores: "0.32", callers: freeAddress(), checks: freeAddress(), peer: freeAddress(), log: filepath.Join(f.dir, name+".log")}
 }
 
 // start starts an instance as deploy/system.toml does.
@@ -75,7 +77,7 @@
 		"TREFOILSTREAM_INSTANCE_ID=" + i.name, "TREFOILSTREAM_FAILURE_DOMAIN=" + i.zone, "TREFOILSTREAM_LISTEN=" + i.callers,
 		"TREFOILSTREAM_READINESS_LISTEN=" + i.checks, "TREFOILSTREAM_PEER_LISTEN=" + i.peer,
 		"TREFOILSTREAM_SEEDS=" + strings.Join(f.seeds, ","), "TREFOILSTREAM_STORE=" + f.storeAddress,
-		fmt.Sprintf("TREFOILSTREAM_FIRST_START=%v", firstStart), "TREFOILSTREAM_CAPACITY=0.32", "TREFOILSTREAM_BOUNDS=" + bounds,
+		fmt.Sprintf("TREFOILSTREAM_FIRST_START=%v", firstStart), "TREFOILSTREAM_CAPACITY=" + i.cores, "TREFOILSTREAM_BOUNDS=" + bounds,
 	}
 	f.mu.Lock()
 	if f.ended {
--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -68,7 +68,7 @@
 		cannotRun("usage: runner CASE PROGRAM RECORD")
 	}
 	name, program, record := os.Args[1], os.Args[2], os.Args[3]
-	play := map[string]func(*env) bool{"replaced": replaced, "crowd": crowd, "leavers": leavers, "poison": poison}[name]
+	play := map[string]func(*env) bool{"replaced": replaced, "crowd": crowd, "leavers": leavers, "poison": poison, "larger": larger}[name]
 	if play == nil {
 		cannotRun("unknown case %q", name)
 	}
--- a/review/runner/replaced.go
+++ b/review/runner/replaced.go
@@ -56,7 +56,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		sent.book(e, loadTime)
+		sent.book(e, bookingsPerSecond, loadTime)
 	}()
 	time.Sleep(removedAfter)
 	if e.trouble {
@@ -80,14 +80,14 @@
 	statuses map[int]int
 }
 
-// book sends bookings of one team for a time, each on a new connection.
-func (s *sentRequests) book(e *env, d time.Duration) {
+// book sends bookings of one team at a rate for a time, each on a new connection.
+func (s *sentRequests) book(e *env, perSecond int, d time.Duration) {
 	s.statuses = make(map[int]int)
 	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{
 		DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}}
 	var wg sync.WaitGroup
-	tick := time.NewTicker(time.Second / bookingsPerSecond)
+	tick := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer tick.Stop()
 	for n, until := 0, time.Now().Add(d); time.Now().Before(until); n++ {
 		<-tick.C
