fleet: two coordinators that both reach the store meet, and starting instances find the successor

Cause: an instance that starts with dead seeds finds the record of the lost coordinator and claims the role, although a member has taken over; that one overwrites the record a second later without reading it. Neither is in a roster or seed list of the other, so they never meet.

A coordinator that asks another one says how many members it has; the smaller one steps down at once.

TestInstanceThatClaimedAfterARestoreStepsDown relied on the live coordinator being slower to write its record again than the newcomer to read it. It now keeps the store from the first two until the newcomer has claimed; what it checks is the same.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -28,6 +28,9 @@
 	// Coordinator is the address of the coordinator it follows, or "".
 	Coordinator string
 	Members     int
+	// Electing is set if the instance has lost its coordinator and looks for the
+	// successor.
+	Electing bool
 }
 
 // Action is what an instance without a coordinator does next. The zero value means
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -91,6 +91,7 @@
 	f.mu.Lock()
 	f.coordinator = c
 	f.followedCoordinator = f.opts.Self.Address
+	f.hasFollowed = true
 	f.mu.Unlock()
 	c.reader.readOperatorFirst(ctx)
 	close(c.accepting)
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -52,6 +52,9 @@
 	// reattachDelay is how long a lost coordinator, or one that could not be
 	// attached to, is not tried again.
 	reattachDelay = 500 * time.Millisecond
+	// maxElectionWait is how long a starting instance leaves it to the recorded
+	// successors to find a coordinator before it claims the role itself.
+	maxElectionWait = 2 * time.Second
 )
 
 // coordinatorFinder finds a coordinator for an instance that has none.
@@ -67,6 +70,12 @@
 	// blockedUntil maps the addresses of coordinators that were lost or could not
 	// be attached to, to the time from which they may be tried again.
 	blockedUntil map[string]time.Time
+	// recorded holds the addresses of the last coordinator record: the coordinator's and
+	// its successors'.
+	recorded []string
+	// electingSince is when one of them was first found to look for a successor; zero if
+	// none was.
+	electingSince time.Time
 }
 
 // initialStoreDelay returns how long a non-seed instance waits before it first
@@ -170,18 +179,22 @@
 func (f *coordinatorFinder) bootstrap(ctx context.Context) election.Action {
 	self := f.fleet.opts.Self.Address
 	var addresses []string
-	for _, address := range f.fleet.opts.Seeds {
-		if address != self {
+	for _, address := range slices.Concat(f.fleet.opts.Seeds, f.recorded) {
+		if address != self && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
 	blocked := f.blockedCoordinators()
-	for _, r := range f.queryAllBriefly(ctx, addresses) {
+	replies := f.queryAllBriefly(ctx, addresses)
+	for _, r := range replies {
 		if r.Reached && r.Coordinator != "" && r.Coordinator != self && !blocked[r.Coordinator] {
 			return election.Action{Attach: r.Coordinator}
 		}
 	}
 	now := time.Now()
+	if f.leaveToSuccessors(now, replies) {
+		return election.Action{}
+	}
 	isSeed := slices.Contains(f.fleet.opts.Seeds, self)
 	if now.Before(f.nextStoreQuery) || !isSeed && now.Sub(f.startedAt) < f.storeDelay {
 		return election.Action{}
@@ -206,15 +219,25 @@
 		if recorded.isFresh(time.Now()) {
 			query = f.queryAll
 		}
-		for _, r := range query(ctx, []string{recorded.Address}) {
+		f.recorded = []string{recorded.Address}
+		for _, address := range recorded.Successors[:min(len(recorded.Successors), recordedSuccessors)] {
+			if address != o.Self.Address {
+				f.recorded = append(f.recorded, address)
+			}
+		}
+		replies := query(ctx, f.recorded)
+		for _, r := range replies {
 			if r.Reached && r.Coordinator != "" && r.Coordinator != o.Self.Address {
 				return election.Action{Attach: r.Coordinator}
 			}
 		}
+		if f.leaveToSuccessors(time.Now(), replies) {
+			return election.Action{}
+		}
 	}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancelClaim()
-	won, err := o.Source.Claim(claimCtx, o.Store, f.fleet.newRecord(), end)
+	won, err := o.Source.Claim(claimCtx, o.Store, f.fleet.newRecord(), end.Offset)
 	if err != nil {
 		log.WithField("event", "store_unavailable").WithError(err).Warn("could not write the coordinator record")
 		return election.Action{}
@@ -225,6 +248,18 @@
 	return election.Action{TakeOver: won}
 }
 
+// leaveToSuccessors reports whether an instance that replied has lost its coordinator and
+// is about to find the successor, so that this one must not claim the role.
+func (f *coordinatorFinder) leaveToSuccessors(now time.Time, replies []election.Reply) bool {
+	if !slices.ContainsFunc(replies, func(r election.Reply) bool { return r.Electing }) {
+		return false
+	}
+	if f.electingSince.IsZero() {
+		f.electingSince = now
+	}
+	return now.Sub(f.electingSince) < maxElectionWait
+}
+
 // queryAllBriefly is queryAll with startupQueryTimeout as its limit.
 func (f *coordinatorFinder) queryAllBriefly(ctx context.Context, addresses []string) []election.Reply {
 	ctx, cancel := context.WithTimeout(ctx, startupQueryTimeout)
@@ -266,13 +301,26 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn := f.peerConns.get(ctx, address)
-	reply, err := peerpb.NewDRPCCoordinationClient(conn).Who(ctx, &peerpb.WhoRequest{Self: peerToProto(f.opts.Self)})
+	reply, err := peerpb.NewDRPCCoordinationClient(conn).Who(ctx, &peerpb.WhoRequest{Self: peerToProto(f.opts.Self), Members: uint32(f.coordinatedMembers())})
 	if err != nil {
 		return election.Reply{From: address}
 	}
 	return election.Reply{
 		From: address, Reached: true, Coordinator: reply.GetCoordinator().GetAddress(), Members: int(reply.GetMembers()),
+		Electing: reply.GetElecting(),
+	}
+}
+
+// coordinatedMembers returns how many members this instance has as the coordinator; 0 if it
+// is not.
+func (f *Fleet) coordinatedMembers() int {
+	f.mu.Lock()
+	c := f.coordinator
+	f.mu.Unlock()
+	if c == nil {
+		return 0
 	}
+	return c.memberCount()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,11 @@
 	// coordinator's clock. Clocks differ between instances, so it only decides
 	// how long a reader waits for the coordinator to reply.
 	ClaimedMS int64 `json:"claimed_ms"`
+	// Members is how many members the coordinator had.
+	Members int `json:"members,omitempty"`
+	// Successors are the addresses of the members that would take over first, so that
+	// starting instances find the successor of a coordinator that was lost.
+	Successors []string `json:"successors,omitempty"`
 }
 
 // RetryRecord is what a coordinator counted of the retries, so that its successors stay
@@ -94,9 +99,11 @@
 	Operator(ctx context.Context, call StoreCaller, from Position, wait time.Duration) ([]catalog.Change, Position, error)
 	// Servers returns changes of the directory of backend servers.
 	Servers(ctx context.Context, call StoreCaller, from Position) ([]catalog.Change, Position, error)
-	// Coordinator returns the coordinator record, or nil, and the end offset of
-	// its topic.
-	Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error)
+	// Coordinator returns the coordinator record, or nil, and the end of its topic.
+	Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, Position, error)
+	// AwaitCoordinator waits up to wait until the record's topic no longer ends at a
+	// position.
+	AwaitCoordinator(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error
 	// Claim writes a coordinator record if the topic still ends at offset at,
 	// or unconditionally if at is negative. It reports whether it was written.
 	Claim(ctx context.Context, call StoreCaller, r CoordinatorRecord, at int64) (bool, error)
@@ -135,6 +142,8 @@
 	coordinator *coordinator
 	// followedCoordinator is the coordinator's address, or "" if there is none.
 	followedCoordinator string
+	// hasFollowed is set once a coordinator was followed.
+	hasFollowed bool
 	// memberCount is how many members the followed coordinator last had. Its roster is
 	// longer: it also holds instances that it cannot reach.
 	memberCount int
@@ -215,6 +224,7 @@
 func (f *Fleet) setFollowedCoordinator(address string) {
 	f.mu.Lock()
 	f.followedCoordinator = address
+	f.hasFollowed = f.hasFollowed || address != ""
 	f.mu.Unlock()
 }
 
@@ -232,7 +242,7 @@
 		return &peerpb.WhoReply{Coordinator: peerToProto(f.opts.Self), Members: uint32(f.coordinator.memberCount())}
 	}
 	if f.followedCoordinator == "" {
-		return &peerpb.WhoReply{}
+		return &peerpb.WhoReply{Electing: f.hasFollowed && !f.leaving}
 	}
 	return &peerpb.WhoReply{Coordinator: &peerpb.Peer{Address: f.followedCoordinator}, Members: uint32(f.memberCount)}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -106,13 +106,28 @@
 	return []catalog.Change{{Servers: &servers, Outdated: from.Era != 0 && s.era > from.Era}}, Position{Era: s.era}, nil
 }
 
-func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, int64, error) {
+func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, Position, error) {
 	if _, err := call.Call(ctx, StoreCall{}); err != nil {
-		return nil, 0, err
+		return nil, Everything, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.coordinator, s.endOffset, nil
+	return s.coordinator, Position{Era: s.era, Offset: s.endOffset}, nil
+}
+
+func (s *fakeStore) AwaitCoordinator(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error {
+	if _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
+		return err
+	}
+	for until := time.Now().Add(wait); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, 5*time.Millisecond) {
+		s.mu.Lock()
+		now := Position{Era: s.era, Offset: s.endOffset}
+		s.mu.Unlock()
+		if now != end {
+			return nil
+		}
+	}
+	return ctx.Err()
 }
 
 func (s *fakeStore) Claim(ctx context.Context, call StoreCaller, r CoordinatorRecord, at int64) (bool, error) {
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -208,10 +209,19 @@
 // live one is lost, reaches no seed, and claims the role.
 func TestInstanceThatClaimedAfterARestoreStepsDown(t *testing.T) {
 	fleet, coordinator := newSettledFleet(t)
+	refuseFirst := func(refused bool) {
+		fleet.store.mu.Lock()
+		defer fleet.store.mu.Unlock()
+		for i := range 2 {
+			fleet.store.refusedInstances[fmt.Sprint(i)] = refused
+		}
+	}
+	// They would write the record again before the newcomer has read it.
+	refuseFirst(true)
 	fleet.store.restore()
-	seeds := func(o *Options) { o.Seeds = []string{"127.0.0.1:1"} }
-	newcomer := fleet.addWith(2, seeds)
+	newcomer := fleet.addWith(2, func(o *Options) { o.Seeds = []string{deadAddress} })
 	eventually(t, "the newcomer has claimed the role", func() bool { return len(fleet.coordinators(-1)) == 2 })
+	refuseFirst(false)
 	eventually(t, "the newcomer follows the coordinator that has more members", func() bool {
 		newcomer.mu.Lock()
 		defer newcomer.mu.Unlock()
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"trefoilstream.example/trefoilstream/internal/election"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 )
 
@@ -25,10 +26,25 @@
 	// The querying instance is part of the fleet, even if it is in no roster yet.
 	if p := peerFromProto(r.GetSelf()); p.Address != "" {
 		s.fleet.replica.addPeer(p)
+		s.fleet.yieldTo(p.Address, int(r.GetMembers()))
 	}
 	return s.fleet.currentCoordinator(), nil
 }
 
+// yieldTo makes this instance step down as the coordinator if another one, which has asked
+// it, has more members. Members is 0 if that one does not coordinate.
+func (f *Fleet) yieldTo(address string, members int) {
+	f.mu.Lock()
+	c := f.coordinator
+	f.mu.Unlock()
+	if c == nil || members == 0 {
+		return
+	}
+	if election.ShouldStepDown(f.opts.Self.Address, c.memberCount(), address, members) {
+		c.resign("another coordinator has more members")
+	}
+}
+
 // Relay implements peerpb.DRPCCoordinationServer.
 func (s *coordinationServer) Relay(ctx context.Context, c *peerpb.StoreCall) (*peerpb.StoreAnswer, error) {
 	wait := time.Duration(c.WaitMs) * time.Millisecond
