election: members do not wait for a successor that has just started or is stopping

Cause: a candidate that answers and follows nobody counts as one that is about to take over, for 20 rounds. One that has just started looks for a coordinator in the store instead, one that stops never takes over.

Change: replies say whether an instance has lost its coordinator and may succeed it. Instances that have pass over candidates that have not; one that has just started leaves the role to them.

TestDecideWaitsForElectingCandidatesOnly fails without the change (an idle candidate is waited for).

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -102,9 +102,11 @@
 
 // Decide returns what an instance does after it queried the candidates. The
 // coordinator that it lost is followed again only if that instance itself claims to
-// coordinate. blocked holds the coordinators that could not be attached to. If skipIdle
-// is set, candidates that have not taken over for many rounds are skipped.
-func Decide(self string, candidates []Peer, replies []Reply, lost string, blocked map[string]bool, skipIdle bool) Action {
+// coordinate. blocked holds the coordinators that could not be attached to. An instance that
+// is electing, as it has lost a coordinator, skips candidates that are not: they have just
+// started or are stopping. If skipIdle is set, candidates that have not taken over for many
+// rounds are skipped too.
+func Decide(self string, electing bool, candidates []Peer, replies []Reply, lost string, blocked map[string]bool, skipIdle bool) Action {
 	byAddress := make(map[string]Reply, len(replies))
 	best := Reply{}
 	for _, r := range replies {
@@ -121,7 +123,7 @@
 			return Action{TakeOver: true}
 		}
 		r := byAddress[c.Address]
-		if !r.Reached || skipIdle && r.Coordinator == "" {
+		if !r.Reached || r.Coordinator == "" && (skipIdle || electing && !r.Electing) {
 			continue
 		}
 		// A reachable candidate ahead of self takes over, or follows a coordinator
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -74,7 +74,7 @@
 		{"the larger of two", []Reply{reached(first, first, 3), reached(order[1].Address, order[1].Address, 9)}, nil, Action{Attach: order[1].Address}},
 		{"one that could not be attached to", []Reply{reached(first, first, 3)}, map[string]bool{first: true}, Action{}},
 	} {
-		if got := Decide(self, candidates, c.replies, lost, c.blocked, false); got != c.want {
+		if got := Decide(self, false, candidates, c.replies, lost, c.blocked, false); got != c.want {
 			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
 		}
 	}
@@ -84,11 +84,34 @@
 func TestDecidePassesOverAnIdleCandidate(t *testing.T) {
 	order := SuccessionOrder(roster(6))
 	replies := []Reply{{From: order[0].Address, Reached: true}, {From: order[1].Address, Reached: true}}
-	if got := Decide(order[2].Address, order[:4], replies, "", nil, true); !got.TakeOver {
+	if got := Decide(order[2].Address, false, order[:4], replies, "", nil, true); !got.TakeOver {
 		t.Errorf("decided %+v while no candidate ahead takes over, want to take over", got)
 	}
 }
 
+// Guards against seconds without a coordinator while members wait for one ahead of them that
+// has just started or is stopping, and against passing over one that is about to take over.
+func TestDecideWaitsForElectingCandidatesOnly(t *testing.T) {
+	order := SuccessionOrder(roster(6))
+	self, first := order[1].Address, order[0].Address
+	for _, c := range []struct {
+		name     string
+		electing bool
+		reply    Reply
+		takeOver bool
+	}{
+		{"an idle one", true, Reply{Reached: true}, true},
+		{"one that looks for the successor too", true, Reply{Reached: true, Electing: true}, false},
+		{"one that has not noticed the loss", true, Reply{Reached: true, Coordinator: "lost"}, false},
+		{"an idle one, and self has just started as well", false, Reply{Reached: true}, false},
+	} {
+		c.reply.From = first
+		if got := Decide(self, c.electing, order[:2], []Reply{c.reply}, "lost", nil, false); got.TakeOver != c.takeOver {
+			t.Errorf("%s is first: %+v, want to take over: %v", c.name, got, c.takeOver)
+		}
+	}
+}
+
 // Guards against two coordinators that both step down, or both stay.
 func TestOneOfTwoStepsDown(t *testing.T) {
 	for _, c := range [][2]int{{3, 3}, {1, 39}, {20, 19}} {
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -155,7 +155,11 @@
 		addresses = append(addresses, f.lostCoordinator)
 	}
 	replies := f.queryAll(ctx, addresses)
-	action := election.Decide(self, candidates, replies, f.lostCoordinator, f.blockedCoordinators(), round >= skipCandidateRounds)
+	electing := f.fleet.isElecting()
+	action := election.Decide(self, electing, candidates, replies, f.lostCoordinator, f.blockedCoordinators(), round >= skipCandidateRounds)
+	if action.TakeOver && !electing && f.leaveToSuccessors(time.Now(), replies) {
+		return election.Action{}
+	}
 	if steppedDown && action == (election.Action{}) {
 		// This instance is no candidate, so it would wait for ever if nobody else takes over.
 		return f.bootstrap(ctx)
--- a/internal/fleet/discovery_test.go
+++ b/internal/fleet/discovery_test.go
@@ -82,7 +82,7 @@
 	default:
 	}
 	coordinator := fleet.instances[fleet.coordinators(-1)[0]].opts.Self.Address
-	if a := election.Decide(instance.opts.Self.Address, nil, replies, "", nil, false); a.Attach != coordinator {
+	if a := election.Decide(instance.opts.Self.Address, false, nil, replies, "", nil, false); a.Attach != coordinator {
 		t.Errorf("decided %+v after %+v, want to follow %s", a, replies, coordinator)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -234,6 +234,16 @@
 	return f.leaving
 }
 
+// electing reports whether this instance has lost its coordinator and may succeed it. The
+// caller holds mu.
+func (f *Fleet) electing() bool { return f.hasFollowed && f.followedCoordinator == "" && !f.leaving }
+
+func (f *Fleet) isElecting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.electing()
+}
+
 // currentCoordinator returns the coordinator that this instance follows.
 func (f *Fleet) currentCoordinator() *peerpb.WhoReply {
 	f.mu.Lock()
@@ -242,7 +252,7 @@
 		return &peerpb.WhoReply{Coordinator: peerToProto(f.opts.Self), Members: uint32(f.coordinator.memberCount())}
 	}
 	if f.followedCoordinator == "" {
-		return &peerpb.WhoReply{Electing: f.hasFollowed && !f.leaving}
+		return &peerpb.WhoReply{Electing: f.electing()}
 	}
 	return &peerpb.WhoReply{Coordinator: &peerpb.Peer{Address: f.followedCoordinator}, Members: uint32(f.memberCount)}
 }
