dispatch: the rate of a team holds across coordinators, at once and one after another

Cause: what was admitted in a window was known to the process that coordinated only. A new one used the whole limit for 1.5 s, began with tokens of its own, and let pass what had been asked of the lost one.

Change: instances log what they were admitted and tell it when they join; a coordinator restores its buckets from that, uses its share of rate and burst from the first permit on, and takes a token for requests that are asked again. A coordinator that stood still steps down.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -58,7 +58,8 @@
 	// rate limit.
 	Admitted bool
 	// Resubmitted is set if a coordinator that was lost may already have
-	// admitted the request.
+	// counted the request of its service. It needs a token of its team's rate all the same:
+	// no instance reports it as admitted.
 	Resubmitted bool
 	// ConfigVersion is that of the configuration by which the member resolved the
 	// request; 0 if it does not say.
@@ -151,6 +152,15 @@
 	// connectedShare is the share of the roster that this coordinator is
 	// connected to, 0 to 1.
 	connectedShare float64
+	// reportedShare is the share of the roster of which is known what earlier
+	// coordinators admitted, 0 to 1.
+	reportedShare float64
+	// term tells this coordinator from others.
+	term uint64
+	// inherited holds how many admissions of other coordinators are counted here.
+	inherited map[inheritedKey]inheritedTotal
+	// unsettled are the requests that wait until the limits of their teams are known.
+	unsettled []PermitRequest
 	// retriesUnknown is set until the retries that earlier coordinators allowed are
 	// known.
 	retriesUnknown bool
@@ -182,7 +192,8 @@
 		index:   catalog.NewIndex(&catalog.Config{}),
 		servers: make(map[string]*server), pools: make(map[string]*pool), teams: make(map[string]*tokenBucket),
 		permits: make(map[uint64]*permit), domainsOut: make(map[string]bool), members: make(map[string]member),
-		crashes: newCrashTracker(&policy.Crash), routes: make(map[string]*routeStats), connectedShare: 1, permitSeq: rand.Uint64() >> 1,
+		crashes: newCrashTracker(&policy.Crash), routes: make(map[string]*routeStats), connectedShare: 1, reportedShare: 1, permitSeq: rand.Uint64() >> 1,
+		term: rand.Uint64() | 1, inherited: make(map[inheritedKey]inheritedTotal),
 	}
 }
 
@@ -197,6 +208,7 @@
 		b.refill(now, d.connectedShare)
 	}
 	d.connectedShare = share
+	d.restoreBuckets(now)
 }
 
 // SetMember adds or changes an instance that may send requests. The capacity is in
@@ -209,6 +221,7 @@
 // for other members stay in flight until they are reported or expire.
 func (d *Dispatcher) RemoveMember(now time.Time, name string) []Decision {
 	delete(d.members, name)
+	d.removeUnsettled(func(r *PermitRequest) bool { return r.Member == name })
 	for _, p := range d.pools {
 		p.removeIf(func(w *queuedRequest) bool { return w.Member == name })
 	}
@@ -275,20 +288,25 @@
 // RequestPermit requests a permit. The decision may be returned later, by any
 // method.
 func (d *Dispatcher) RequestPermit(now time.Time, req PermitRequest) []Decision {
+	d.requestPermit(now, req)
+	return d.flush()
+}
+
+func (d *Dispatcher) requestPermit(now time.Time, req PermitRequest) {
 	w := &queuedRequest{PermitRequest: req, route: d.index.RouteByName(req.Route), stats: d.stats(req.Route), seq: d.requestSeq}
 	d.requestSeq++
 	switch {
 	case w.route == nil:
 		d.refuse(&req, errkind.StaleConfiguration, 0, "configuration %d of the coordinator has no route %q", d.index.Config.Version, req.Route)
-		return d.flush()
+		return
 	case req.ConfigVersion != 0 && req.ConfigVersion != d.index.Config.Version:
 		// The service is chosen here, the key was checked there: both must hold in one
 		// version.
 		d.refuse(&req, errkind.StaleConfiguration, 0, "resolved by configuration %d, the coordinator has %d", req.ConfigVersion, d.index.Config.Version)
-		return d.flush()
+		return
 	case d.crashes.quarantined(now, req.Fingerprint):
 		d.refuse(&req, errkind.QuarantinedRequest, 0, "request fingerprint %x: servers dropped %d connections", req.Fingerprint, d.policy.Crash.QuarantineDrops)
-		return d.flush()
+		return
 	}
 	team := d.index.Team(req.Team)
 	if !d.policy.Admission.IgnorePriority {
@@ -299,15 +317,14 @@
 	}
 	p := d.pool(w.Service)
 	if !req.Admitted && team != nil && team.Rate > 0 {
-		if wait := d.teamBucket(now, team).take(now, d.connectedShare); wait > 0 && !req.Resubmitted {
-			d.refuse(&req, errkind.RateLimited, wait, "team %q exceeds %g/s with burst %g, connected share %.2f", team.Name, team.Rate, team.Burst, d.connectedShare)
-			return d.flush()
+		if !d.admit(now, &req, team) {
+			return
 		}
 	}
 	if req.IsRetry {
 		if !p.retries.allow(now, d.bounds, d.retryShare(now)) {
 			d.refuse(&req, errkind.Overloaded, budgetRetryAfter, "retry budget of service %q is spent", w.Service)
-			return d.flush()
+			return
 		}
 	} else if !req.Admitted && !req.Resubmitted {
 		p.retries.countRequest(now, d.bounds)
@@ -316,11 +333,11 @@
 	p.enqueue(w)
 	d.serveQueue(now, w.Service)
 	d.refuseOverload(now, p, w)
-	return d.flush()
 }
 
 // Withdraw removes a queued request whose caller has disconnected.
 func (d *Dispatcher) Withdraw(memberName string, number uint64) {
+	d.removeUnsettled(func(r *PermitRequest) bool { return r.Member == memberName && r.Number == number })
 	for _, p := range d.pools {
 		p.removeIf(func(w *queuedRequest) bool { return w.Member == memberName && w.Number == number })
 	}
@@ -329,6 +346,7 @@
 // Tick serves the queues, refuses requests that can no longer be served in
 // time, and checks the requests in flight.
 func (d *Dispatcher) Tick(now time.Time) []Decision {
+	d.retryUnsettled(now)
 	for name, p := range d.pools {
 		if len(p.queue) > 0 {
 			d.serveQueue(now, name)
@@ -343,7 +361,7 @@
 
 // Waiting returns the number of queued requests.
 func (d *Dispatcher) Waiting() int {
-	n := 0
+	n := len(d.unsettled)
 	for _, p := range d.pools {
 		n += len(p.queue)
 	}
@@ -398,12 +416,3 @@
 	s.meanServiceTime += time.Duration(weight * float64(took-s.meanServiceTime))
 	s.bytes += weight * (float64(bytes) - s.bytes)
 }
-
-func (d *Dispatcher) teamBucket(now time.Time, t *catalog.Team) *tokenBucket {
-	b := d.teams[t.Name]
-	if b == nil {
-		b = newBucket(now, t, d.bounds)
-		d.teams[t.Name] = b
-	}
-	return b
-}
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -28,7 +28,7 @@
 	// still be running, counts as unreachable.
 	rosterRetention = 30 * time.Second
 	// takeoverGracePeriod is how long a new coordinator waits for members to
-	// attach before it counts the absent ones as partitioned off.
+	// attach before it hands over to one of them.
 	takeoverGracePeriod = 1500 * time.Millisecond
 	// conflictProbeInterval is the time between probes for another coordinator
 	// while members are absent.
@@ -66,8 +66,11 @@
 	// disconnected maps the addresses of all lost members to the time of the
 	// loss. They are dropped from the roster if they do not reattach.
 	disconnected map[string]time.Time
-	startedAt    time.Time
-	closed       bool
+	// reported holds the addresses of members that told what earlier coordinators
+	// admitted to them in the whole last quota window.
+	reported  map[string]bool
+	startedAt time.Time
+	closed    bool
 	// rosterDelta holds the roster changes not yet sent to members.
 	rosterDelta rosterDelta
 	// retriesUnread is set while another coordinator may have recorded retries that
@@ -116,7 +119,7 @@
 	now := time.Now()
 	c := &coordinator{
 		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
-		disconnected: make(map[string]time.Time), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
+		disconnected: make(map[string]time.Time), reported: make(map[string]bool), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
 		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
@@ -142,6 +145,7 @@
 	for address := range r.roster {
 		c.unreachable[address], c.disconnected[address] = now, now
 	}
+	c.updateConnectedShare(now)
 	return c
 }
 
@@ -190,6 +194,7 @@
 	if err != nil {
 		return err
 	}
+	state.Term = c.dispatcher.Term()
 	if session.standby = c.isStandby(session.peer); session.standby {
 		state.Servers = c.fleet.replica.serversToProto(now)
 	}
@@ -197,6 +202,7 @@
 	for _, l := range hello.GetLimits() {
 		c.setLimit(now, l)
 	}
+	c.inheritAdmissions(now, session.peer.Address, hello)
 	for _, r := range hello.GetRunning() {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
 	}
@@ -332,49 +338,53 @@
 	}
 }
 
-// updateConnectedShare tells the dispatcher what share of the fleet is connected to
-// this coordinator.
+// fullCapacityShare is the connected share from which limits are not reduced: they may be
+// exceeded by a tenth, and so few unreachable instances cannot do so on their own.
+const fullCapacityShare = 0.95
+
+// updateConnectedShare tells the dispatcher what share of the fleet is connected to this
+// coordinator, and what share has told what earlier coordinators admitted. Until they join,
+// members may have joined another coordinator.
 func (c *coordinator) updateConnectedShare(now time.Time) {
-	unreachable := 0
 	for address, at := range c.unreachable {
 		if now.Sub(at) > rosterRetention {
 			delete(c.unreachable, address)
-			continue
 		}
-		unreachable++
-	}
-	share := 1.0
-	if now.Sub(c.startedAt) > takeoverGracePeriod && unreachable > 0 {
-		share = float64(len(c.sessions)) / float64(len(c.sessions)+unreachable)
-		if share >= minMajorityShare {
-			// The unreachable minority can grant only a small part of the permits.
-			share = max(share, minMajorityShare)
-		}
-		if share >= fullCapacityShare {
-			share = 1
+	}
+	reported := 0
+	for address := range c.sessions {
+		if c.reported[address] {
+			reported++
 		}
 	}
-	c.dispatcher.SetConnectedShare(now, share)
+	fleetSize := len(c.sessions) + len(c.unreachable)
+	c.dispatcher.SetConnectedShare(now, usableShare(len(c.sessions), fleetSize))
+	c.dispatcher.SetReportedShare(now, usableShare(reported, fleetSize))
 }
 
-const (
-	// minMajorityShare is the minimum share that the larger side of a partition
-	// keeps.
-	minMajorityShare = 0.5
-	// fullCapacityShare is the connected share from which limits are not reduced:
-	// limits may be exceeded by a tenth, and so few unreachable instances cannot
-	// do so on their own.
-	fullCapacityShare = 0.95
-)
+func usableShare(part, whole int) float64 {
+	share := float64(part) / float64(max(1, whole))
+	if share >= fullCapacityShare {
+		return 1
+	}
+	return share
+}
 
 func (c *coordinator) runDispatchTicks(ctx context.Context) {
 	t := time.NewTicker(dispatchTickInterval)
 	defer t.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
+		case <-t.C:
+			now := time.Now()
+			if c.stoodStill(now.Sub(last)) {
+				c.resign("this process stood still for longer than members wait")
+				return
+			}
+			last = now
 			c.mu.Lock()
 			c.deliver(c.dispatcher.Tick(now))
 			transitions, checks := c.dispatcher.Transitions(), c.dispatcher.PathChecks()
@@ -390,6 +400,14 @@
 	}
 }
 
+// stoodStill reports whether the process was stopped, for example suspended, for so long that its
+// members have left it. It knows neither what their next coordinator has admitted nor that
+// there is one.
+func (c *coordinator) stoodStill(gap time.Duration) bool {
+	members := c.memberCount()
+	return members > 1 && gap > maxMissedHeartbeats*heartbeatInterval(members)
+}
+
 // heartbeatInterval returns the time between heartbeats for a number of members.
 func heartbeatInterval(members int) time.Duration {
 	return max(minHeartbeatInterval, time.Duration(members)*heartbeatPerMember)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -83,6 +85,10 @@
 	running map[string]uint32
 	// limits holds the rate limits that backend servers named to this instance.
 	limits map[string]namedLimit
+	// term is that of the coordinator, process a random number of this process.
+	term, process uint64
+	admissions    *dispatch.AdmissionLog
+	startedAt     time.Time
 }
 
 type pendingRequest struct {
@@ -97,7 +103,10 @@
 }
 
 func newMember(f *Fleet) *Member {
-	return &Member{fleet: f, pending: make(map[uint64]*pendingRequest), running: make(map[string]uint32), limits: make(map[string]namedLimit)}
+	return &Member{
+		fleet: f, pending: make(map[uint64]*pendingRequest), running: make(map[string]uint32), limits: make(map[string]namedLimit),
+		process: rand.Uint64(), admissions: dispatch.NewAdmissionLog(f.opts.Bounds.QuotaWindow), startedAt: time.Now(),
+	}
 }
 
 // Acquire waits for a permit. It returns a *Refused error if the coordinator
@@ -234,6 +243,7 @@
 	request := m.pending[p.Ask]
 	if request != nil {
 		m.running[p.Server]++
+		m.noteAdmitted(&request.PermitRequest)
 		permit.fingerprint = request.Fingerprint
 	}
 	toCoordinator := m.toCoordinator
@@ -257,10 +267,10 @@
 	}
 }
 
-// setCoordinator submits all pending requests to a new coordinator.
-func (m *Member) setCoordinator(toCoordinator coordinatorSender) {
+// setCoordinator submits all pending requests to a new coordinator, in its term.
+func (m *Member) setCoordinator(toCoordinator coordinatorSender, term uint64) {
 	m.mu.Lock()
-	m.toCoordinator = toCoordinator
+	m.toCoordinator, m.term = toCoordinator, term
 	var asks []*peerpb.Ask
 	for id, request := range m.pending {
 		asks = append(asks, request.toProto(id))
@@ -294,7 +304,11 @@
 func (m *Member) hello() *peerpb.MemberHello {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := &peerpb.MemberHello{Self: peerToProto(m.fleet.opts.Self), Limits: m.limitsToProto(time.Now())}
+	now := time.Now()
+	h := &peerpb.MemberHello{
+		Self: peerToProto(m.fleet.opts.Self), Limits: m.limitsToProto(now), Admissions: m.admissionsToProto(now), Process: m.process,
+		AgeMs: uint32(min(now.Sub(m.startedAt).Milliseconds(), math.MaxUint32)),
+	}
 	for s, count := range m.running {
 		h.Running = append(h.Running, &peerpb.Running{Server: s, Count: count})
 	}
@@ -353,7 +367,7 @@
 			}
 			w.setTimeout(maxMissedHeartbeats * heartbeatInterval(len(m.State.Roster)))
 			f.setFollowedCoordinator(address)
-			f.member.setCoordinator(toCoordinator)
+			f.member.setCoordinator(toCoordinator, m.State.Term)
 			if f.isLeaving() {
 				f.member.leave()
 			}
@@ -424,7 +438,7 @@
 			}
 		}
 	}()
-	m.setCoordinator(&localCoordinator{coordinator: c, session: session})
+	m.setCoordinator(&localCoordinator{coordinator: c, session: session}, c.dispatcher.Term())
 	return func() {
 		<-done
 		m.clearCoordinator()
