dispatch: retries stay within the bound of every window, also as requests begin and end

Cause: a retry was allowed by the requests of the window before it. The agreed bound counts the requests of the window in which the retry falls, of the one before, or of the one half a window before; a window that begins as requests have just begun and ends after the last of them has fewer than the one by which retries were allowed.

Change: requests are counted for two windows, and a retry is allowed if each window that it may fall into has room without any further request. Steps are half as long; those that a window may cut count for the retries, not for the requests.

--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // retrySteps is the number of steps into which the retry window is divided.
-const retrySteps = 10
+const retrySteps = 20
 
 const (
 	// retryMargin is the share of the agreed retry budget that is used. The rest
@@ -18,11 +19,12 @@
 	unrecordedRetryShare = 0.15
 )
 
-// retryWindow counts the requests and the retries of a service in a sliding window,
+// retryWindow counts the requests of a service in two sliding windows and the retries in one,
 // by step. The current step comes first.
 type retryWindow struct {
-	requests, retries [retrySteps + 1]float64
-	stepStartedAt     time.Time
+	requests      [2*retrySteps + 1]float64
+	retries       [retrySteps + 1]float64
+	stepStartedAt time.Time
 }
 
 // advance moves the window up to now.
@@ -45,13 +47,37 @@
 // totals returns the requests and the retries of the window.
 func (w *retryWindow) totals(now time.Time, window time.Duration) (requests, retries float64) {
 	w.advance(now, window)
-	for i := range w.requests {
+	for i := range w.retries {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
 	return requests, retries
 }
 
+// tightest returns, of all windows that have begun in the last one and in which the agreed
+// bound must hold, the retries and the requests of that which leaves the least room. No
+// further requests are assumed. Retries that are not recorded count too. The agreed bound counts the requests of the window, of the
+// one before it, or of the one half a window before it, whichever are most: a window may
+// begin as requests have just begun, and end after the last. As it may begin anywhere in its
+// first step, steps that it may cut count for the retries and not for the requests.
+func (w *retryWindow) tightest(ratio float64, unrecorded *retryWindow) (requests, retries float64) {
+	// before[i] counts the requests of the steps that come before i.
+	var before [len(w.requests) + 1]float64
+	for i, n := range w.requests {
+		before[i+1] = before[i] + n
+	}
+	least, recorded, assumed := math.Inf(1), 0.0, 0.0
+	for k := range w.retries {
+		recorded += w.retries[k]
+		assumed += unrecorded.retries[k]
+		most := max(before[k], before[k+retrySteps]-before[k+1], before[k+retrySteps/2]-before[max(0, k+1-retrySteps/2)])
+		if room := ratio*most - recorded - assumed; room < least {
+			least, requests, retries = room, most, recorded+assumed
+		}
+	}
+	return requests, retries
+}
+
 // retryBudget limits the retries of a service, which all coordinators of a window share.
 type retryBudget struct {
 	own retryWindow
@@ -87,6 +113,8 @@
 	u.retries.advance(now, window)
 	for i := range w.requests {
 		w.requests[i] += u.requests.requests[i]
+	}
+	for i := range w.retries {
 		w.retries[i] += u.retries.retries[i]
 	}
 }
@@ -137,15 +165,23 @@
 	return max(0, 1-used/limit)
 }
 
-// usage returns the retries that wait or are in the window, and how many are allowed.
+// usage returns the retries that wait or are in the window that leaves the least room, and how
+// many are allowed in it.
 func (r *retryBudget) usage(now time.Time, b Bounds, share float64) (used, limit float64) {
-	requests, used := r.own.totals(now, b.RetryWindow)
-	used += float64(r.waiting)
-	for _, w := range r.inherited {
-		q, n := w.totals(now, b.RetryWindow)
-		requests, used = requests+q, used+n
+	r.own.advance(now, b.RetryWindow)
+	all := r.own
+	for address, u := range r.inherited {
+		if address != "" {
+			u.addTo(&all, now, b.RetryWindow)
+		}
+	}
+	var unrecorded retryWindow
+	if u := r.inherited[""]; u != nil {
+		u.retries.advance(now, b.RetryWindow)
+		unrecorded = u.retries
 	}
-	return used, retryMargin * (b.RetrySlack + b.RetryRatio*requests) * share
+	requests, used := all.tightest(retryMargin*b.RetryRatio*share, &unrecorded)
+	return used + float64(r.waiting), retryMargin * (b.RetrySlack + b.RetryRatio*requests) * share
 }
 
 // retryShare is the share of the retry budgets that this coordinator may use: that of
@@ -158,8 +194,9 @@
 	return d.connectedShare
 }
 
-// RetryUse is what a coordinator counted for a service in its retry window, by step. The
-// current step comes first; it began StepAgeMS before the record was made.
+// RetryUse is what a coordinator counted for a service in its retry window, by step, and its
+// requests in two windows. The current step comes first; it began StepAgeMS before the
+// record was made.
 type RetryUse struct {
 	Service   string   `json:"service"`
 	Requests  []uint32 `json:"requests"`
@@ -220,8 +257,11 @@
 			continue
 		}
 		u := RetryUse{Service: name, StepAgeMS: now.Sub(counted.stepStartedAt).Milliseconds()}
-		for i := range counted.retries {
-			u.Requests, u.Retries = append(u.Requests, uint32(counted.requests[i])), append(u.Retries, uint32(counted.retries[i]))
+		for _, n := range counted.requests {
+			u.Requests = append(u.Requests, uint32(n))
+		}
+		for _, n := range counted.retries {
+			u.Retries = append(u.Retries, uint32(n))
 		}
 		u.Retries[0] += uint32(d.recordedAhead(now, r))
 		r.sinceRecord, r.recordedAt = 0, now
@@ -274,7 +314,7 @@
 		requests: retryWindow{stepStartedAt: now.Add(-age - stepAge)},
 		retries:  retryWindow{stepStartedAt: now.Add(-max(0, age-clockTolerance-retryRecordInterval) - stepAge)},
 	}
-	for i, n := range u.Requests[:min(len(u.Requests), retrySteps+1)] {
+	for i, n := range u.Requests[:min(len(u.Requests), 2*retrySteps+1)] {
 		out.requests.requests[i] = float64(n)
 	}
 	for i, n := range u.Retries[:min(len(u.Retries), retrySteps+1)] {
