--- a/internal/forward/collector.go
+++ b/internal/forward/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"trefoilstream.example/trefoilstream/internal/ingress"
 )
@@ -21,6 +22,14 @@
 	// received counts the bytes of the body that have arrived.
 	received  int64
 	streaming bool
+	// streamer is the collector whose response is passed on.
+	streamer *atomic.Pointer[collector]
+}
+
+// claim makes this response the one that is passed on. It returns false if that is another
+// one.
+func (c *collector) claim() bool {
+	return c.streamer.CompareAndSwap(nil, c) || c.streamer.Load() == c
 }
 
 // Head implements sender.Reply.
@@ -43,6 +52,9 @@
 		c.body = append(c.body, p...)
 		return nil
 	}
+	if !c.claim() {
+		return errOtherAttempt
+	}
 	c.streaming = true
 	c.w.Start(c.status, c.header, c.length)
 	if err := c.w.WritePart(c.body); err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -139,7 +139,9 @@
 	admitted      bool
 	// failure is the last error response of a backend server.
 	failure *collector
-	summary Summary
+	// streamer is the attempt whose response is passed on as it arrives; nil if none is.
+	streamer atomic.Pointer[collector]
+	summary  Summary
 }
 
 // Serve implements ingress.Handler.
@@ -241,7 +243,7 @@
 	r.fingerprint = fingerprint(r.team, r.in)
 	configRetries := 0
 	for {
-		permit, err := r.acquire(ctx)
+		permit, err := r.acquire(ctx, r.reachedServer)
 		var refused *fleet.Refused
 		if errors.As(err, &refused) && refused.Kind == errkind.StaleConfiguration && configRetries < maxConfigRetries {
 			configRetries++
@@ -262,13 +264,13 @@
 }
 
 // acquire acquires a permit for an attempt, unless the instance is about to end.
-func (r *request) acquire(ctx context.Context) (*fleet.Permit, error) {
+func (r *request) acquire(ctx context.Context, isRetry bool) (*fleet.Permit, error) {
 	acquireCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.h.sending, cancel)()
 	p, err := r.h.fleet.Acquire(acquireCtx, fleet.PermitRequest{
 		Route: r.route.Name, Team: r.team, Service: r.service, ExcludedServers: r.triedServers, Fingerprint: r.fingerprint,
-		Deadline: r.deadline, ArrivedAt: r.in.Arrived, IsRetry: r.reachedServer, Admitted: r.admitted,
+		Deadline: r.deadline, ArrivedAt: r.in.Arrived, IsRetry: isRetry, Admitted: r.admitted,
 		ConfigVersion: r.index.Config.Version,
 	})
 	if err != nil && ctx.Err() == nil && r.h.sending.Err() != nil {
@@ -290,70 +292,10 @@
 	return r.resolveCurrent(ctx)
 }
 
-// attempt sends the request once. It returns true if the request has ended.
-func (r *request) attempt(ctx context.Context, p *fleet.Permit) bool {
-	r.admitted = true
-	r.service = p.Service
-	r.triedServers = append(r.triedServers, p.Server)
-	r.sends++
-	r.summary.Waited, r.summary.Basis = time.Since(r.in.Arrived), p.Basis
-	r.summary.Server, r.summary.Service, r.summary.Via, r.summary.Sends = p.Server, p.Service, p.Via, r.sends
-	reply := &collector{w: r.w}
-	start := time.Now()
-	outcome, cause := r.send(ctx, p, reply)
-	r.h.fleet.Release(p, outcome, time.Since(start), int64(len(r.in.Body))+reply.received)
-	r.summary.Cause = cause
-	if reply.streaming {
-		r.w.Finish(outcome == dispatch.Served || outcome == dispatch.Failed)
-		r.end(reply.status)
-		return true
-	}
-	switch outcome {
-	case dispatch.Served:
-		r.respond(reply)
-		return true
-	case dispatch.Failed:
-		r.failure = reply
-	}
-	if ctx.Err() != nil {
-		r.endExpired(ctx, outcome)
-		return true
-	}
-	return r.endUnlessRetryable(outcome)
-}
-
-// send runs one attempt. A repeatable request that exceeds the permit's stall
-// timeout is cancelled, so that it can be retried on another server.
-func (r *request) send(ctx context.Context, p *fleet.Permit, reply sender.Reply) (dispatch.Outcome, error) {
-	sendCtx, cancel := ctx, context.CancelFunc(func() {})
-	deadline := r.deadline
-	if p.StallTimeout > 0 && r.route.Kind.Repeatable() && time.Until(r.deadline) > 2*p.StallTimeout {
-		sendCtx, cancel = context.WithTimeout(ctx, p.StallTimeout)
-	}
-	defer cancel()
-	outcome, err := r.h.fleet.Send(sendCtx, p, &sender.Job{
-		Method: r.in.Method, URI: r.in.URI, Host: r.in.Host, Header: r.in.Header, RequestID: r.caller.RequestID,
-		Team: r.team, Body: r.in.Body, Deadline: deadline, Repeatable: r.route.Kind.Repeatable(),
-	}, reply)
-	if outcome == dispatch.Cancelled && sendCtx.Err() != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		outcome = dispatch.Stalled
-	}
-	return outcome, err
-}
-
 // endUnlessRetryable ends the request unless another attempt is allowed. It
 // returns true if the request has ended.
 func (r *request) endUnlessRetryable(o dispatch.Outcome) bool {
-	ran := false
-	switch o {
-	case dispatch.Unreachable, dispatch.Unsent:
-	case dispatch.Shed, dispatch.Misdirected:
-		r.reachedServer = true
-	default:
-		ran, r.reachedServer = true, true
-		r.mayHaveRun++
-	}
-	if ran && !r.route.Kind.Repeatable() || r.mayHaveRun >= r.route.MaxAttempts || r.sends >= maxSends {
+	if ran := r.count(o); ran && !r.route.Kind.Repeatable() || r.mayHaveRun >= r.route.MaxAttempts || r.sends >= maxSends {
 		r.endWithoutRetry(o)
 		return true
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,10 +24,14 @@
 	body    string
 	// hang blocks until the context ends.
 	hang bool
+	// delay is the time before the outcome.
+	delay time.Duration
 }
 
 // fakeFleet runs its steps in order, one per send.
 type fakeFleet struct {
+	// mu guards acquired, sent and released.
+	mu    sync.Mutex
 	index *catalog.Index
 	// freshness is asked before each look at the index; beforeLook, if set, may change
 	// both.
@@ -39,10 +44,12 @@
 	acquired []fleet.PermitRequest
 	refusal  error
 	// waiting, if set, is closed by a request for a permit, which is then never granted.
-	waiting  chan struct{}
-	stall    time.Duration
-	sent     []*sender.Job
-	released []dispatch.Outcome
+	waiting chan struct{}
+	stall   time.Duration
+	// acquireDelay is the time until a permit other than the first one.
+	acquireDelay time.Duration
+	sent         []*sender.Job
+	released     []dispatch.Outcome
 }
 
 func (f *fakeFleet) Index() *catalog.Index { return f.index }
@@ -55,7 +62,10 @@
 }
 
 func (f *fakeFleet) Acquire(ctx context.Context, r fleet.PermitRequest) (*fleet.Permit, error) {
+	f.mu.Lock()
 	f.acquired = append(f.acquired, r)
+	number := len(f.acquired)
+	f.mu.Unlock()
 	if f.beforeAcquire != nil {
 		if err := f.beforeAcquire(f, r); err != nil {
 			return nil, err
@@ -66,22 +76,36 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if f.refusal != nil || len(f.acquired) > len(f.steps) {
+	if number > 1 {
+		select {
+		case <-time.After(f.acquireDelay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if f.refusal != nil || number > len(f.steps) {
 		if f.refusal == nil {
 			return nil, &fleet.Refused{Kind: errkind.Overloaded}
 		}
 		return nil, f.refusal
 	}
-	return &fleet.Permit{Server: "s" + string(rune('0'+len(f.acquired))), Service: "desk", StallTimeout: f.stall}, nil
+	return &fleet.Permit{Server: "s" + string(rune('0'+number)), Service: "desk", StallTimeout: f.stall}, nil
 }
 
 func (f *fakeFleet) Send(ctx context.Context, _ *fleet.Permit, j *sender.Job, reply sender.Reply) (dispatch.Outcome, error) {
+	f.mu.Lock()
 	f.sent = append(f.sent, j)
 	s := f.steps[len(f.sent)-1]
+	f.mu.Unlock()
 	if s.hang {
 		<-ctx.Done()
 		return dispatch.Cancelled, ctx.Err()
 	}
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return dispatch.Cancelled, ctx.Err()
+	}
 	if s.status != 0 {
 		if err := reply.Head(s.status, http.Header{"X-Sig": {"x"}}, int64(len(s.body))); err != nil {
 			return dispatch.Cancelled, err
@@ -97,6 +121,8 @@
 }
 
 func (f *fakeFleet) Release(_ *fleet.Permit, o dispatch.Outcome, _ time.Duration, _ int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.released = append(f.released, o)
 }
 
@@ -222,6 +248,22 @@
 	}
 }
 
+// Guards against giving up the only attempt that a request has: a server is silent for a while,
+// and there is no permit for another one, or it comes too late.
+func TestStalledRequestIsNotGivenUpForNothing(t *testing.T) {
+	slow := step{outcome: dispatch.Served, status: 200, delay: 60 * time.Millisecond}
+	for name, f := range map[string]*fakeFleet{
+		"refused":     {steps: []step{slow}, stall: 10 * time.Millisecond},
+		"waiting":     {steps: []step{slow, {outcome: dispatch.Served, status: 200}}, stall: 10 * time.Millisecond, acquireDelay: 200 * time.Millisecond},
+		"turned away": {steps: []step{slow, {outcome: dispatch.Shed}}, stall: 10 * time.Millisecond},
+		"failed":      {steps: []step{slow, {outcome: dispatch.Failed, status: 500}}, stall: 10 * time.Millisecond},
+	} {
+		if s, _ := serveOne(t, f, "/l/1", "k"); s.Status != 200 || f.released[len(f.released)-1] != dispatch.Served {
+			t.Errorf("%s: status %d after %d sends, outcomes %v; want the response of the first", name, s.Status, len(f.sent), f.released)
+		}
+	}
+}
+
 // Guards against accepting requests without a valid key, and against requiring
 // a key on public routes.
 func TestKeys(t *testing.T) {
