fleet, sender: a server that says in its responses that it leaves gets nothing more

The users saw (DRAIN): requests at a server later than drain-timeout after an instance had passed on its response with Server-Leaving.

Cause: nothing read the header.

Change: the sending instance and the one that passes the response on note the server's incarnation and send it nothing more by themselves. They tell the coordinator, and its successors as they join, which takes the server out without counting it as failing. Another incarnation ends it.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -38,6 +38,8 @@
 	// second from all instances together, until a response says otherwise.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving means that the server is about to end and takes no further requests.
+	Leaving bool
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -98,6 +98,8 @@
 		// The directory is out of date; the record that replaces this one has a new
 		// Incarnation.
 		s.Draining = true
+	case Leaving:
+		s.saidLeaving, s.Draining = true, true
 	case Unsent:
 		s.unreachableFrom[pm.via] = now.Add(d.policy.Path.UnreachableTTL)
 	case Cancelled:
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -32,11 +32,13 @@
 	Cancelled
 	// Unsent means that the sending instance could not be reached.
 	Unsent
+	// Leaving means that nothing was sent, since the server has said that it leaves.
+	Leaving
 )
 
 var outcomeNames = [...]string{
 	Served: "served", Failed: "failed", Dropped: "dropped", Unreachable: "unreachable", Shed: "shed",
-	Misdirected: "misdirected", Stalled: "stalled", Cancelled: "cancelled", Unsent: "unsent",
+	Misdirected: "misdirected", Stalled: "stalled", Cancelled: "cancelled", Unsent: "unsent", Leaving: "leaving",
 }
 
 // String returns the name of the outcome as logged.
@@ -67,6 +69,9 @@
 	running    int
 	// overdue is how many of the running requests are past their stall timeout.
 	overdue int
+	// saidLeaving is set once this incarnation of the server has said in a response that it
+	// leaves.
+	saidLeaving bool
 	// domainOut is set while operators have taken the failure domain out of
 	// service.
 	domainOut bool
@@ -205,6 +210,7 @@
 		s = fresh
 	}
 	s.Server = in
+	s.Draining = s.Draining || s.saidLeaving
 	s.domainOut = d.domainsOut[in.Domain]
 	if in.Cold > 0 {
 		s.coldUntil = later(s.coldUntil, now.Add(in.Cold))
@@ -220,6 +226,18 @@
 	return b
 }
 
+// SetServerLeaving notes that an incarnation of a server has said in a response that it
+// leaves. It gets no further requests, whatever the directory says of that incarnation. It
+// reports whether that is new.
+func (d *Dispatcher) SetServerLeaving(id string, incarnation int64) bool {
+	s := d.servers[id]
+	if s == nil || s.Incarnation != incarnation || s.saidLeaving {
+		return false
+	}
+	s.saidLeaving, s.Draining = true, true
+	return true
+}
+
 // RemoveServer removes a backend server.
 func (d *Dispatcher) RemoveServer(id string) {
 	if s := d.servers[id]; s != nil {
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -202,6 +202,9 @@
 	for _, l := range hello.GetLimits() {
 		c.setLimit(now, l)
 	}
+	for _, l := range hello.GetServersLeaving() {
+		c.setLeaving(l)
+	}
 	c.inheritAdmissions(now, session.peer.Address, hello)
 	for _, r := range hello.GetRunning() {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
@@ -263,6 +266,8 @@
 		c.adoptConfig(now, session, m.Config)
 	case m.Limit != nil:
 		c.setLimit(now, m.Limit)
+	case m.ServerLeaving != nil:
+		c.setLeaving(m.ServerLeaving)
 	case m.Leaving:
 		session.leaving = true
 		c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, true)
@@ -308,7 +313,7 @@
 		}
 		p := d.Permit
 		c.send(session, &peerpb.CoordinatorMessage{Permit: &peerpb.Permit{
-			Ask: d.RequestNumber, Number: p.Number, Server: p.Server.ID, ServerAddress: p.Server.Address, Service: p.Service,
+			Ask: d.RequestNumber, Number: p.Number, Server: p.Server.ID, ServerAddress: p.Server.Address, Service: p.Service, Incarnation: p.Server.Incarnation,
 			Via: p.Via, StallMs: uint32(p.StallTimeout.Milliseconds()),
 			Reason: reasonToProto(p.Basis.Reason), FailureProbability: float32(p.Basis.FailureProbability),
 			OutcomeAgeMs: outcomeAgeToProto(p.Basis.OutcomeAge),
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -54,6 +54,8 @@
 	// Basis is what decided for the server, for the log.
 	Basis       dispatch.Basis
 	fingerprint uint64
+	// incarnation is that of the server.
+	incarnation int64
 }
 
 // Refused is the error for a permit that the coordinator denied.
@@ -229,7 +231,7 @@
 
 func (m *Member) handlePermit(p *peerpb.Permit) {
 	permit := &Permit{
-		id: p.Number, Server: p.Server, Address: p.ServerAddress, Service: p.Service, Via: p.Via,
+		id: p.Number, Server: p.Server, Address: p.ServerAddress, Service: p.Service, Via: p.Via, incarnation: p.Incarnation,
 		StallTimeout: time.Duration(p.StallMs) * time.Millisecond,
 		Basis: dispatch.Basis{
 			Reason: reasonFromProto(p.Reason), FailureProbability: float64(p.FailureProbability),
@@ -309,6 +311,11 @@
 		Self: peerToProto(m.fleet.opts.Self), Limits: m.limitsToProto(now), Admissions: m.admissionsToProto(now), Process: m.process,
 		AgeMs: uint32(min(now.Sub(m.startedAt).Milliseconds(), math.MaxUint32)),
 	}
+	if m.fleet.opts.Sender != nil {
+		for _, l := range m.fleet.opts.Sender.Leaving() {
+			h.ServersLeaving = append(h.ServersLeaving, &peerpb.LeavingServer{Server: l.Server, Incarnation: l.Incarnation})
+		}
+	}
 	for s, count := range m.running {
 		h.Running = append(h.Running, &peerpb.Running{Server: s, Count: count})
 	}
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -25,7 +25,10 @@
 // Send sends a permitted request to its server, directly or through the instance
 // that the permit names.
 func (f *Fleet) Send(ctx context.Context, p *Permit, j *sender.Job, reply sender.Reply) (dispatch.Outcome, error) {
-	j.Server, j.Address = p.Server, p.Address
+	j.Server, j.Incarnation, j.Address = p.Server, p.incarnation, p.Address
+	if f.opts.Sender.IsLeaving(j) {
+		return dispatch.Leaving, errServerLeaving
+	}
 	if p.Via == "" {
 		return f.opts.Sender.Run(ctx, j, reply)
 	}
@@ -59,7 +62,22 @@
 	if err := sendBody(stream, j.Body); err != nil {
 		return dispatch.Dropped, fmt.Errorf("lost the connection to the sending instance: %w", err)
 	}
-	return receiveReply(ctx, stream, reply)
+	return receiveReply(ctx, stream, &leavingObserver{Reply: reply, sender: f.opts.Sender, job: j})
+}
+
+var errServerLeaving = errors.New("backend server has said that it leaves")
+
+// leavingObserver notes whether the head of a response says that its server leaves.
+type leavingObserver struct {
+	sender.Reply
+	sender *sender.Sender
+	job    *sender.Job
+}
+
+// Head implements sender.Reply.
+func (o *leavingObserver) Head(status int, h http.Header, length int64) error {
+	o.sender.NoteResponse(o.job, status, h)
+	return o.Reply.Head(status, h, length)
 }
 
 func sendBody(stream peerpb.DRPCCoordination_SendClient, body []byte) error {
@@ -109,7 +127,7 @@
 	return &peerpb.SendHead{
 		Server: j.Server, Address: j.Address, Method: j.Method, Uri: j.URI, Host: j.Host, Headers: headersToProto(j.Header),
 		Length: int64(len(j.Body)), LeftMs: uint32(max(0, time.Until(j.Deadline)).Milliseconds()),
-		Repeatable: j.Repeatable, RequestId: j.RequestID, Team: j.Team,
+		Repeatable: j.Repeatable, RequestId: j.RequestID, Team: j.Team, Incarnation: j.Incarnation,
 	}
 }
 
@@ -160,7 +178,7 @@
 		return err
 	}
 	j := &sender.Job{
-		Server: h.Server, Address: h.Address, Method: h.Method, URI: h.Uri, Host: h.Host, Header: headersFromProto(h.Headers),
+		Server: h.Server, Incarnation: h.Incarnation, Address: h.Address, Method: h.Method, URI: h.Uri, Host: h.Host, Header: headersFromProto(h.Headers),
 		RequestID: h.RequestId, Team: h.Team, Body: body, Deadline: deadline, Repeatable: h.Repeatable,
 	}
 	outcome, err := s.fleet.opts.Sender.Run(stream.Context(), j, &replyWriter{stream: stream})
--- a/internal/fleet/serverlimit_test.go
+++ b/internal/fleet/serverlimit_test.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/sender"
 )
 
 // limitOf returns the limit of a server at the coordinator; false without one.
@@ -35,7 +37,7 @@
 		return len(r.servers) == 4
 	})
 
-	sending.member.noteResponse("s0", dialect.ServerResponse{RateLimited: true, RateLimit: 2.5})
+	sending.member.noteResponse(&sender.Job{Server: "s0"}, dialect.ServerResponse{RateLimited: true, RateLimit: 2.5})
 	eventually(t, "the coordinator knows the limit", func() bool {
 		limit, limited := limitOf(fleet.instances[coordinator], "s0")
 		return limited && limit == 2.5
@@ -46,14 +48,14 @@
 	if limit, limited := limitOf(successor, "s0"); !limited || limit != 2.5 {
 		t.Errorf("the successor knows limit %g (%v), want 2.5", limit, limited)
 	}
-	sending.member.noteResponse("s0", dialect.ServerResponse{})
+	sending.member.noteResponse(&sender.Job{Server: "s0"}, dialect.ServerResponse{})
 	eventually(t, "the limit has ended", func() bool { _, limited := limitOf(successor, "s0"); return !limited })
 }
 
 // Guards against limits kept for servers that have long gone.
 func TestOldLimitsAreForgotten(t *testing.T) {
 	m := newMember(New(Options{Self: Peer{Address: "self:1"}, Bounds: dispatch.Bounds{}}))
-	m.noteResponse("s0", dialect.ServerResponse{RateLimited: true, RateLimit: 1})
+	m.noteResponse(&sender.Job{Server: "s0"}, dialect.ServerResponse{RateLimited: true, RateLimit: 1})
 	if got := m.limitsToProto(time.Now().Add(limitRetention / 2)); len(got) != 1 || got[0].Rate != 1 {
 		t.Errorf("reported %v, want the limit of s0", got)
 	}
@@ -61,3 +63,34 @@
 		t.Errorf("reported %v after the retention time, %d kept", got, len(m.limits))
 	}
 }
+
+// Guards against a server that a change of coordinator makes usable again after it has said
+// that it leaves: the instance that it told tells the successor.
+func TestSuccessorKnowsTheLeavingServers(t *testing.T) {
+	fleet := newTestFleet(t, 4)
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.coordinators(-1)[0]
+	sending := fleet.instances[(coordinator+1)%4]
+	eventually(t, "the members hold the servers", func() bool { return len(fleet.instancesWithServers(coordinator)) == 3 })
+	j := &sender.Job{Server: "s0"}
+	r := dialect.ServerResponse{Leaving: true}
+	sending.opts.Sender.NoteLeaving(j, r)
+	sending.member.noteResponse(j, r)
+	if o, _ := sending.Send(context.Background(), &Permit{Server: "s0"}, &sender.Job{}, nil); o != dispatch.Leaving {
+		t.Errorf("a permit granted before: %s, want leaving", o)
+	}
+	leaves := func(f *Fleet) bool {
+		f.mu.Lock()
+		c := f.coordinator
+		f.mu.Unlock()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !c.dispatcher.SetServerLeaving("s0", 0)
+	}
+	eventually(t, "the coordinator knows", func() bool { return leaves(fleet.instances[coordinator]) })
+	fleet.stops[coordinator]()
+	eventually(t, "a successor", func() bool { return fleet.ready(coordinator) })
+	if !leaves(fleet.instances[fleet.coordinators(coordinator)[0]]) {
+		t.Error("the successor does not know")
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -90,7 +90,7 @@
 // request may have run.
 func (r *request) count(o dispatch.Outcome) (ran bool) {
 	switch o {
-	case dispatch.Unreachable, dispatch.Unsent:
+	case dispatch.Unreachable, dispatch.Unsent, dispatch.Leaving:
 	case dispatch.Shed, dispatch.Misdirected:
 		r.reachedServer = true
 	default:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -337,7 +337,7 @@
 		r.respond(r.failure)
 		return
 	}
-	if r.mayHaveRun == 0 && (o == dispatch.Unsent || o == dispatch.Unreachable || o == dispatch.Shed || o == dispatch.Misdirected) {
+	if r.mayHaveRun == 0 && (o == dispatch.Unsent || o == dispatch.Unreachable || o == dispatch.Leaving || o == dispatch.Shed || o == dispatch.Misdirected) {
 		r.refuse(errkind.Errorf(errkind.DeadlineExceededQueued, "deadline passed before a backend server received the request"))
 		return
 	}
--- /dev/null
+++ b/internal/sender/leaving.go
@@ -0,0 +1,84 @@
+package sender
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"trefoilstream.example/trefoilstream/internal/dialect"
+)
+
+var errLeaving = errors.New("server has said that it leaves")
+
+// leavingRetention is how long it is known that a server leaves. Servers that leave end
+// within seconds, at times many.
+const leavingRetention = 10 * time.Minute
+
+// LeavingServer is an incarnation of a server that has said that it leaves.
+type LeavingServer struct {
+	Server      string
+	Incarnation int64
+}
+
+// leavingServers holds the servers that have told this instance that they leave. A server
+// that starts again under its ID is another incarnation.
+type leavingServers struct {
+	mu      sync.Mutex
+	servers map[LeavingServer]time.Time
+}
+
+// IsLeaving reports whether the job's server has told this instance that it leaves. This
+// instance sends it nothing more, whether or not it reaches the coordinator.
+func (s *Sender) IsLeaving(j *Job) bool {
+	l := &s.leaving
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, leaving := l.servers[LeavingServer{j.Server, j.Incarnation}]
+	return leaving
+}
+
+// NoteLeaving notes what a response says of its server's leaving.
+func (s *Sender) NoteLeaving(j *Job, r dialect.ServerResponse) {
+	if !r.Leaving {
+		return
+	}
+	l := &s.leaving
+	now, key := time.Now(), LeavingServer{j.Server, j.Incarnation}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.servers[key]; known {
+		return
+	}
+	if l.servers == nil {
+		l.servers = make(map[LeavingServer]time.Time)
+	}
+	for k, at := range l.servers {
+		if now.Sub(at) > leavingRetention {
+			delete(l.servers, k)
+		}
+	}
+	l.servers[key] = now
+	log.WithFields(log.Fields{"event": "server_leaving", "server": j.Server, "request": j.RequestID}).Info("backend server says that it leaves")
+}
+
+// NoteResponse is NoteLeaving for a response that another instance has passed on.
+func (s *Sender) NoteResponse(j *Job, status int, h http.Header) {
+	if s.dialect != nil && status != http.StatusMisdirectedRequest {
+		s.NoteLeaving(j, s.dialect.ReadResponse(status, h))
+	}
+}
+
+// Leaving returns the servers that have told this instance that they leave.
+func (s *Sender) Leaving() []LeavingServer {
+	l := &s.leaving
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]LeavingServer, 0, len(l.servers))
+	for k := range l.servers {
+		out = append(out, k)
+	}
+	return out
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -17,11 +17,13 @@
 
 // Job is one request for one backend server.
 type Job struct {
-	Server  string
-	Address string
-	Method  string
-	URI     string
-	Host    string
+	Server string
+	// Incarnation is that of the server, see catalog.Server.
+	Incarnation int64
+	Address     string
+	Method      string
+	URI         string
+	Host        string
 	// Header holds the caller's headers without the hop-by-hop ones.
 	Header    http.Header
 	RequestID string
@@ -48,7 +50,8 @@
 	client  *backend.Client
 	dialect dialect.Dialect
 	// observe is called with the head of each response.
-	observe func(server string, r dialect.ServerResponse)
+	observe func(j *Job, r dialect.ServerResponse)
+	leaving leavingServers
 }
 
 // New returns a sender.
@@ -56,7 +59,7 @@
 
 // Observe sets a function that is called with the head of each response of a server,
 // in the order in which they arrive from it. It must be set before the first request.
-func (s *Sender) Observe(f func(server string, r dialect.ServerResponse)) { s.observe = f }
+func (s *Sender) Observe(f func(j *Job, r dialect.ServerResponse)) { s.observe = f }
 
 // Reach reports whether a connection to a backend server can be made. The
 // connection stays in the pool for the next request.
@@ -67,6 +70,9 @@
 // Run sends a request once. The outcome is Served or Failed if the complete
 // response was passed to reply. The error is the cause of any other outcome.
 func (s *Sender) Run(ctx context.Context, j *Job, reply Reply) (dispatch.Outcome, error) {
+	if s.IsLeaving(j) {
+		return dispatch.Leaving, errLeaving
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
 	resp, err := s.client.Do(ctx, s.request(j))
@@ -75,8 +81,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	meta := s.dialect.ReadResponse(resp.StatusCode, resp.Header)
-	if s.observe != nil && resp.StatusCode != http.StatusMisdirectedRequest {
-		s.observe(j.Server, meta)
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		s.NoteLeaving(j, meta)
+		if s.observe != nil {
+			s.observe(j, meta)
+		}
 	}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -22,7 +22,7 @@
 	h.Set("Left", r.Left.String())
 }
 func (testDialect) ReadResponse(_ int, h http.Header) dialect.ServerResponse {
-	return dialect.ServerResponse{RequestID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", RateLimited: h.Get("Limit") != ""}
+	return dialect.ServerResponse{RequestID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", RateLimited: h.Get("Limit") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 // server responds to each request with raw bytes. It closes the connection
@@ -186,8 +186,8 @@
 		address, _ := server(t, func(int, string) []byte { return []byte(c.head + "Limit: 1\r\nContent-Length: 0\r\n\r\n") })
 		s := New(testDialect{})
 		observed := 0
-		s.Observe(func(name string, r dialect.ServerResponse) {
-			if name == "s" && r.RateLimited {
+		s.Observe(func(j *Job, r dialect.ServerResponse) {
+			if j.Server == "s" && r.RateLimited {
 				observed++
 			}
 		})
@@ -257,3 +257,34 @@
 		}
 	}
 }
+
+// Guards against requests to a server that has said that it leaves, by permits that were
+// granted before or by a coordinator that does not know; another incarnation is not held to
+// it.
+func TestNothingIsSentToAServerThatLeaves(t *testing.T) {
+	requests := 0
+	address, _ := server(t, func(int, string) []byte {
+		requests++
+		return []byte("HTTP/1.1 200 OK\r\nId: 1\r\nSig: x\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	s := New(testDialect{})
+	send := func(incarnation int64) dispatch.Outcome {
+		o, _ := s.Run(context.Background(), &Job{Server: "s", Incarnation: incarnation, Address: address, Method: "GET", URI: "/", RequestID: "1", Deadline: time.Now().Add(time.Second)}, &discard{})
+		return o
+	}
+	if o := send(1); o != dispatch.Served {
+		t.Fatalf("first request: %s", o)
+	}
+	if o := send(1); o != dispatch.Leaving || requests != 1 {
+		t.Errorf("second request: %s, %d reached the server", o, requests)
+	}
+	if o := send(2); o != dispatch.Served {
+		t.Errorf("a request to the server's next incarnation: %s", o)
+	}
+}
+
+// discard is a reply that nobody reads.
+type discard struct{}
+
+func (*discard) Head(int, http.Header, int64) error { return nil }
+func (*discard) Body([]byte) error                  { return nil }
