--- a/internal/dispatch/admissions.go
+++ b/internal/dispatch/admissions.go
@@ -159,27 +159,14 @@
 		}
 		d.inherited[key] = inheritedTotal{total: r.Total, at: now}
 		b := d.teamBucket(now, team)
-		b.admitted.advance(now, window)
-		added := uint64(0)
-		left := r.Total - counted
-		for i, n := range r.Steps[:min(len(r.Steps), admissionSteps+1)] {
-			n = uint32(min(uint64(n), left))
-			left -= uint64(n)
-			added += uint64(n)
-			// The end of the step, as late as its requests may have been admitted.
-			at := now
-			if i > 0 {
-				at = now.Add(-max(0, r.StepAge) - time.Duration(i-1)*window/admissionSteps)
-			}
-			b.admitted.add(at, window, n)
+		if !b.addReport(now, window, r, counted) {
+			continue
 		}
-		if added > 0 {
-			before := b.tokens
-			b.restore(now, window, d.knowledge(team))
-			if now.Sub(d.startedAt) > window {
-				// The bucket knew more than the last window.
-				b.tokens = math.Min(b.tokens, before)
-			}
+		before := b.tokens
+		b.restore(now, window, d.knowledge(team))
+		if now.Sub(d.startedAt) > window {
+			// The bucket knew more than the last window.
+			b.tokens = math.Min(b.tokens, before)
 		}
 	}
 	for key, t := range d.inherited {
@@ -189,6 +176,25 @@
 	}
 }
 
+// addReport counts what a report holds beyond the first requests that are counted already. It
+// reports whether any of that is in the window.
+func (b *tokenBucket) addReport(now time.Time, window time.Duration, r AdmissionReport, counted uint64) bool {
+	b.admitted.advance(now, window)
+	left, added := r.Total-counted, false
+	for i, n := range r.Steps[:min(len(r.Steps), admissionSteps+1)] {
+		n = uint32(min(uint64(n), left))
+		left -= uint64(n)
+		added = added || n > 0
+		// The end of the step, as late as its requests may have been admitted.
+		at := now
+		if i > 0 {
+			at = now.Add(-max(0, r.StepAge) - time.Duration(i-1)*window/admissionSteps)
+		}
+		b.admitted.add(at, window, n)
+	}
+	return added
+}
+
 // SetReportedShare sets the share of the roster, 0 to 1, of which is known what earlier
 // coordinators admitted.
 func (d *Dispatcher) SetReportedShare(now time.Time, share float64) {
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -107,6 +107,7 @@
 		f.blockedUntil = make(map[string]time.Time)
 	}
 	f.blockedUntil[address] = now.Add(reattachDelay)
+	f.electingSince = time.Time{}
 	if address != f.lostCoordinator {
 		f.lostCoordinator, f.lostAt = address, now
 	}
