backend: a response without a length is not complete if its connection broke during the upload

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. Callers got that part, with a Content-Length that fits, as a complete response.

Cause: such a response ends with its connection, and an end of file was taken for its end. Linux reports a reset once, to the next call on the socket. If that is the writer's, the reader sees an end of file as after an orderly close.

Why this works: at the end of file the writer is stopped (its deadline is set into the past) and a write under way is awaited, so that its error is known. No error, or the deadline: the end of file is the server's. EPIPE: likewise, since the kernel gives this error for a reset that follows an orderly close. Any other error broke the connection, and the response was cut off.

A write that fails no longer closes the connection under the reader.

An unsafe request whose response is cut off gets 502, a repeatable one the response of the other server; the log names the cause.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -52,6 +52,7 @@
 	// ErrNoLength says that the end of the response cannot be told from a
 	// broken connection: it has neither a Content-Length nor chunked encoding.
 	ErrNoLength       = errors.New("response has no length")
+	errBrokenInWrite  = errors.New("connection broke while the request was being written")
 	errOtherRequest   = errors.New("response belongs to another request")
 	errUnknownRequest = errors.New("response does not say to which request it belongs")
 	errHeaderTooLarge = errors.New("response headers are too large")
@@ -158,7 +159,11 @@
 func (x *exchange) write(req *http.Request) error {
 	w := bufio.NewWriter(x.conn)
 	if err := req.Write(w); err != nil {
-		x.conn.closeAndRelease()
+		if x.conn.writeErr == nil {
+			// The body could not be read. A connection that broke is left to the reader:
+			// the server may have responded before.
+			x.conn.closeAndRelease()
+		}
 		return err
 	}
 	return w.Flush()
@@ -203,7 +208,7 @@
 			continue
 		}
 		x.conn.maxIdle = maxIdleTime(resp.Header)
-		resp.Body = &responseBody{x: x, body: resp.Body, reuse: !resp.Close && !unbounded}
+		resp.Body = &responseBody{x: x, body: resp.Body, reuse: !resp.Close && !unbounded, untilClose: unbounded}
 		return resp, nil
 	}
 	return nil, errors.New("too many interim responses or responses to other requests")
@@ -239,11 +244,18 @@
 	x     *exchange
 	body  io.ReadCloser
 	reuse bool
+	// untilClose is set if the end of the body is the end of its connection.
+	untilClose bool
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if err == io.EOF && b.untilClose {
+		if writeErr := b.x.conn.brokenInWrite(); writeErr != nil {
+			err = fmt.Errorf("%w: %w", errBrokenInWrite, writeErr)
+		}
+	}
 	if err != nil {
 		b.x.finish(err == io.EOF && b.reuse)
 	}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +29,9 @@
 	// accepted or, during a write, may have accepted.
 	written  atomic.Int64
 	received atomic.Int64
+	// writing is held during a write. writeErr is the error of the write that failed.
+	writing  sync.Mutex
+	writeErr error
 	// used is set once a request was sent.
 	used bool
 	// headerBytesLeft is the number of bytes that may still be read before
@@ -42,12 +46,33 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
+	if err != nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
+// brokenInWrite returns the error of a connection that broke while the request was being
+// written, or nil. It ends the write.
+//
+// The system reports a reset once, to the writer or to the reader. If the writer got it, the
+// reader sees io.EOF, as after an orderly close. A reset that follows an orderly close is
+// reported to the writer as EPIPE.
+func (c *conn) brokenInWrite() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return c.writeErr
+}
+
 // headerLimitReader reads from a connection up to its header limit.
 type headerLimitReader struct{ c *conn }
 
