backend, httphead: a response whose field names hold blanks is none

What callers saw: a server in trouble sent a head in which the name of a field held a blank, or a blank stood before the colon. The response was passed on, with that line as it was, or, if the field was Content-Length or Transfer-Encoding, with a body that was not the server's.

Cause: net/http reads such heads ("Content-Length " is a field of its own then); its server and its Request.Write check names, but ReadResponse does not. The same holds for interim heads, the heads of responses to other requests and of responses to HEAD, and trailers. Other wrong heads were refused before: control bytes and bytes above 0x7f in a name, an empty name, a line without a colon, a folded first line, NUL, carriage return or DEL in a value, a length with a sign. Their tests stay.

Why this works: httphead.Check tests names and values with httpguts of golang.org/x/net on every head that the client of backend servers reads, before anything in it is believed, and on the trailer at the end of a chunked body.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/httphead"
 )
 
 // Limits of the client.
@@ -180,6 +182,9 @@
 			}
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if err := httphead.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
 				return nil, errors.New("server switched protocols")
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -10,11 +10,13 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // FuzzReadAnswer guards against backend server responses that hang or crash the
-// client, that it accepts although they are truncated, or whose body it returns
-// although the server did not send it.
+// client, that it accepts although they are truncated or malformed, or whose body it
+// returns although the server did not send it.
 func FuzzReadAnswer(f *testing.F) {
 	for _, s := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -24,6 +26,8 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\nffffffffffffffff\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n\r\nno length",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 3\r\n\r\noka",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: 1\r\n\r\n",
 		"HTTP/1.1 999\r\n\r\n", "\x00\xff", "",
 	} {
 		f.Add([]byte(s))
@@ -69,6 +73,13 @@
 		if err != nil {
 			return
 		}
+		for _, h := range []http.Header{resp.Header, resp.Trailer} {
+			for name := range h {
+				if !httpguts.ValidHeaderFieldName(name) && len(h[name]) > 0 {
+					t.Errorf("response with field name %q is accepted", name)
+				}
+			}
+		}
 		if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 			t.Errorf("%d bytes accepted as a body of %d", len(body), resp.ContentLength)
 		}
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,61 @@
+// Package httphead rejects HTTP/1 responses that net/http reads although they are malformed
+// (RFC 9112). Nothing that such a response says can be relied on, its length included.
+package httphead
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformed says that bytes that were read as a response are none.
+var ErrMalformed = errors.New("malformed response")
+
+// Check returns an error that wraps ErrMalformed if the head of a response is malformed. It
+// also makes reading a chunked body end with such an error, rather than with io.EOF, if the
+// trailer that follows is malformed.
+func Check(resp *http.Response) error {
+	if err := CheckFields(resp.Header); err != nil {
+		return err
+	}
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = &trailerBody{ReadCloser: resp.Body, resp: resp}
+	}
+	return nil
+}
+
+// CheckFields returns an error that wraps ErrMalformed if a name or a value is not allowed in
+// a header or a trailer.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+			}
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fmt.Errorf("%w: value %q of field %s", ErrMalformed, v, name)
+			}
+		}
+	}
+	return nil
+}
+
+// trailerBody is a chunked body whose trailer is checked at its end.
+type trailerBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if err := CheckFields(b.resp.Trailer); err != nil {
+			return n, fmt.Errorf("trailer: %w", err)
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/httphead/httphead_test.go
@@ -0,0 +1,60 @@
+package httphead
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// read reads a response as net/http does, and checks it.
+func read(t *testing.T, raw string) (string, error) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+	if err != nil {
+		t.Fatalf("%q: net/http reads no response: %v", raw, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := Check(resp); err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against what net/http lets pass.
+func TestCheckRejectsMalformedResponses(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 200 OK\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nSum : 1\r\n\r\n",
+	} {
+		if body, err := read(t, raw); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: body %q, error %v", raw, body, err)
+		}
+	}
+}
+
+// Guards against rejecting fields that HTTP allows.
+func TestCheckPassesValidFields(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~1:\t\xe9 \t b\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTrailer: Sum, a b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSum: 1\r\n\r\n",
+	} {
+		if body, err := read(t, raw); err != nil || body != "ok" {
+			t.Errorf("%q: body %q, error %v", raw, body, err)
+		}
+	}
+}
+
+// Guards against values that reach CheckFields by another way than net/http.
+func TestCheckFields(t *testing.T) {
+	for _, h := range []http.Header{{"A": {"1", "a\nb"}}, {"A": {"\x00"}}, {"": {"1"}}, {"a:": {"1"}}} {
+		if err := CheckFields(h); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: error %v", h, err)
+		}
+	}
+}
