httphead: a response whose status, version or reason phrase is wrong is none

What callers saw: a server in trouble answered with status 000. Callers of a buffered response got no answer at all, since the connection writes none without a status: it was closed where a 502 is due. Callers of a response over 1 MiB, and of a status such as 099 or +20, got a status line that no HTTP client reads ("HTTP/1.1 0", "HTTP/1.1 20"). With the headers that say so, such a response also counted as "not run".

Cause: http.ReadResponse takes any three bytes for a status that strconv.Atoi reads, and any version of two digits.

Why this works: httphead.Check asks for major version 1, a status from 100 on and a reason phrase of text before anything in the head is believed. Statuses from 600 on still count as failures of the server. The result is that of other malformed heads: 502 for an unsafe request, another server for a repeatable one, the connection is closed, and the log says which status it was.

--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -28,6 +28,8 @@
 		"HTTP/1.1 200 OK\r\n\r\nno length",
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 3\r\n\r\noka",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: 1\r\n\r\n",
+		"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 999\r\n\r\n", "\x00\xff", "",
 	} {
 		f.Add([]byte(s))
@@ -73,6 +75,9 @@
 		if err != nil {
 			return
 		}
+		if resp.StatusCode < 200 || resp.ProtoMajor != 1 {
+			t.Errorf("response %s %s is accepted", resp.Proto, resp.Status)
+		}
 		for _, h := range []http.Header{resp.Header, resp.Trailer} {
 			for name := range h {
 				if !httpguts.ValidHeaderFieldName(name) && len(h[name]) > 0 {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -18,6 +19,15 @@
 // also makes reading a chunked body end with such an error, rather than with io.EOF, if the
 // trailer that follows is malformed.
 func Check(resp *http.Response) error {
+	status, reason, _ := strings.Cut(resp.Status, " ")
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %s", ErrMalformed, resp.Proto)
+	case !ValidStatus(resp.StatusCode):
+		return fmt.Errorf("%w: status %s", ErrMalformed, status)
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return fmt.Errorf("%w: reason phrase %q", ErrMalformed, reason)
+	}
 	if err := CheckFields(resp.Header); err != nil {
 		return err
 	}
@@ -27,6 +37,10 @@
 	return nil
 }
 
+// ValidStatus reports whether a status code can be that of a response. Codes above 599 have
+// no meaning in RFC 9110, but are treated as failures of the server, as it recommends.
+func ValidStatus(code int) bool { return code >= 100 && code <= 999 }
+
 // CheckFields returns an error that wraps ErrMalformed if a name or a value is not allowed in
 // a header or a trailer.
 func CheckFields(h http.Header) error {
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -27,6 +27,13 @@
 // Guards against what net/http lets pass.
 func TestCheckRejectsMalformedResponses(t *testing.T) {
 	for _, raw := range []string{
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 +99 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 -00 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/0.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 O\x00K\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: 1\r\n\r\n",
@@ -38,9 +45,11 @@
 	}
 }
 
-// Guards against rejecting fields that HTTP allows.
-func TestCheckPassesValidFields(t *testing.T) {
+// Guards against rejecting what HTTP allows.
+func TestCheckPassesValidResponses(t *testing.T) {
 	for _, raw := range []string{
+		"HTTP/1.0 200\r\n\r\nok",
+		"HTTP/1.2 999 \xe9\tX\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~1:\t\xe9 \t b\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTrailer: Sum, a b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSum: 1\r\n\r\n",
 	} {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -145,6 +145,8 @@
 		{"malformed head", "HTTP/1.1 200 OK\r\nSig: x\r\nBad Name: 1\r\nContent-Length: 2\r\n\r\nok", dispatch.Dropped},
 		{"malformed refusal", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n", dispatch.Dropped},
 		{"malformed answer of another server", "HTTP/1.1 421 X\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n", dispatch.Dropped},
+		{"status 000", "HTTP/1.1 000 X\r\nSig: x\r\nContent-Length: 2\r\n\r\nok", dispatch.Dropped},
+		{"status 099", "HTTP/1.1 099 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", dispatch.Dropped},
 		{"malformed trailer", "HTTP/1.1 200 OK\r\nSig: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBad Name: 1\r\n\r\n", dispatch.Dropped},
 		{"no response", "", dispatch.Dropped},
 		{"no protocol", "garbage\r\n\r\n", dispatch.Dropped},
