backend, httphead: an HTTP/1.0 response with Transfer-Encoding is malformed

What callers saw: a server that answered with HTTP/1.0 and Transfer-Encoding: chunked. Callers got the framing of the chunks as a part of the body ("4\r\npart\r\n0\r\n\r\n"), signed, as a complete response.

Cause: the same trust in http.ReadResponse. It removes Transfer-Encoding from an HTTP/1.0 head and ignores it, so the body ends with the connection or at the Content-Length. RFC 9112, section 6.1, wants the framing of such a message taken for faulty.

Evidence, before this commit: platform.TestPlatformBrokenResponsesReachNoCaller/HTTP/1.0_and_chunked fails, unsafe requests get 200 with that body; backend.TestWrongHeadsAreErrors fails for its three heads of this kind (chunked, with a length too, in a head of 10 KB).

Why this works: the client keeps the bytes of a head that does not begin with HTTP/1.1, and httphead.CheckHTTP10 looks for the field in them. Heads of HTTP/1.1 are not kept. HTTP/1.0 without the field, with a length or without one, arrives as before (TestUnusualResponsesArrive).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -174,7 +174,7 @@
 func (x *exchange) read(req *http.Request, r *Request) (*http.Response, error) {
 	x.receivedBefore = x.conn.received.Load()
 	for range maxInterim {
-		x.conn.headerBytesLeft = maxHeaderBytes
+		x.conn.beginHead()
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
 			if x.conn.headerBytesLeft <= 0 {
@@ -185,6 +185,11 @@
 		if err := httphead.Check(resp); err != nil {
 			return nil, err
 		}
+		if !resp.ProtoAtLeast(1, 1) {
+			if err := httphead.CheckHTTP10(x.conn.recordedHead()); err != nil {
+				return nil, err
+			}
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
 				return nil, errors.New("server switched protocols")
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -37,6 +38,9 @@
 	// headerBytesLeft is the number of bytes that may still be read before
 	// the end of the headers.
 	headerBytesLeft int64
+	// head holds what was read since the head of a response began, unless it is one of
+	// HTTP/1.1.
+	head []byte
 	// maxIdle is how long the connection may stay idle.
 	maxIdle   time.Duration
 	idleTimer *time.Timer
@@ -88,10 +92,29 @@
 	l.c.received.Add(int64(n))
 	if l.c.headerBytesLeft != unlimited {
 		l.c.headerBytesLeft -= int64(n)
+		l.c.recordHead(p[:n])
 	}
 	return n, err
 }
 
+// beginHead prepares for reading the head of a response.
+func (c *conn) beginHead() {
+	c.headerBytesLeft = maxHeaderBytes
+	c.head = nil
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.recordHead(buffered)
+}
+
+func (c *conn) recordHead(p []byte) {
+	if len(c.head) == 0 && bytes.HasPrefix(p, []byte("HTTP/1.1")) {
+		return
+	}
+	c.head = append(c.head, p...)
+}
+
+// recordedHead returns the head that was read, unless it is one of HTTP/1.1.
+func (c *conn) recordedHead() []byte { return c.head[:max(0, len(c.head)-c.reader.Buffered())] }
+
 // closeAndRelease closes the connection and releases its reservation. When it
 // returns, no further write can succeed, whichever goroutine closed the
 // connection.
--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -47,6 +47,9 @@
 	"version 0.0":                     "HTTP/0.0 200 OK\r\nContent-Length: 2\r\n",
 	"version of two digits":           "HTTP/1.11 200 OK\r\nContent-Length: 2\r\n",
 	"lower-case protocol":             "http/1.1 200 OK\r\nContent-Length: 2\r\n",
+	"HTTP/1.0 and chunked":            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.0, chunked and a length":  "HTTP/1.0 200 OK\r\nContent-Length: 2\r\ntransfer-encoding: chunked\r\n",
+	"HTTP/1.0, chunked, long head":    "HTTP/1.0 200 OK\r\nA: " + strings.Repeat("x", 10<<10) + "\r\nTransfer-Encoding: chunked\r\n",
 	"another protocol":                "ICY 200 OK\r\nContent-Length: 2\r\n",
 	"NUL in the reason":               "HTTP/1.1 200 O\x00K\r\nContent-Length: 2\r\n",
 	"carriage return in the reason":   "HTTP/1.1 200 O\rK\r\nContent-Length: 2\r\n",
@@ -141,6 +144,7 @@
 		"status without a class":       "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.0":                     "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.0 without a length":    "HTTP/1.0 200 OK\r\n\r\nok",
+		"HTTP/1.0 after an interim":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nA: 1\r\n\r\nok",
 		"same length twice":            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		s := raw(t, response)
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -3,10 +3,13 @@
 package httphead
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -37,6 +40,21 @@
 	return nil
 }
 
+// CheckHTTP10 returns an error that wraps ErrMalformed if the head of an HTTP/1.0 response, as
+// it was read, has a Transfer-Encoding, which HTTP/1.0 does not define: the end of the
+// response is unknown. http.ReadResponse removes the field and ignores it.
+func CheckHTTP10(head []byte) error {
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if te := h.Values("Transfer-Encoding"); len(te) > 0 {
+		return fmt.Errorf("%w: HTTP/1.0 with Transfer-Encoding %q", ErrMalformed, te)
+	}
+	return nil
+}
+
 // ValidStatus reports whether a status code can be that of a response. Codes above 599 have
 // no meaning in RFC 9110, but are treated as failures of the server, as it recommends.
 func ValidStatus(code int) bool { return code >= 100 && code <= 999 }
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -67,3 +67,19 @@
 		}
 	}
 }
+
+// Guards against a body that holds the framing of its chunks.
+func TestCheckHTTP10(t *testing.T) {
+	for head, valid := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n":                                true,
+		"HTTP/1.0 200 OK\r\n\r\n":                                                     true,
+		"HTTP/1.0 200 OK\n\n":                                                         true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                       false,
+		"HTTP/1.0 200 OK\ntransfer-encoding: \nContent-Length: 2\n\n":                 false,
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: identity\r\n\r\n": false,
+	} {
+		if err := CheckHTTP10([]byte(head)); (err == nil) != valid || err != nil && !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: error %v", head, err)
+		}
+	}
+}
