httphead, platform, logservice, ctl: malformed responses of the store, the log and the administration API are errors

The store's "Store-Era : 7" was read as a response without an era, by which a store that was restored from an older copy is recognized. A 412 or 503 with a malformed head counted as "nothing was written", a 200 as written.

Cause: these clients read with http.Transport, which has the same ReadResponse below it.

Evidence, before this commit: platform.TestBrokenResponsesOfTheStoreAreErrors fails for a blank in a name (200 and 412), status 000 and version 2.0, for reads and appends; logservice.TestBrokenResponsesAreErrors for a blank in a name (200 and 503) and version 2.0; ctl.TestBrokenResponseLeavesTheOutcomeUnknown for a blank in a name. Refused before, with their cases kept: bodies shorter than their length, JSON cut off without a length, and a response of the store without a length whose connection is reset. Their requests are written before the response is read, and a cut in raw records or JSON shows; so the reset during an upload has no counterpart here.

Why this works: httphead.Transport checks each response, interim heads and trailers too, before the client sees it, and closes the transport's idle connections after a malformed one, since http.Transport has already taken that connection back (TestTransportRejectsMalformedResponses sees a new connection). After a malformed response to an append, the outcome is unknown.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -16,6 +16,7 @@
 
 	"trefoilstream.example/trefoilstream/internal/admin"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/httphead"
 )
 
 const (
@@ -56,7 +57,7 @@
 		}
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
 	}
-	c.http.Transport = transport
+	c.http.Transport = httphead.Transport{Base: transport}
 	return c, nil
 }
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -79,6 +79,8 @@
 type trailerBody struct {
 	io.ReadCloser
 	resp *http.Response
+	// onMalformed, if set, is called when the trailer is malformed.
+	onMalformed func()
 }
 
 // Read implements io.Reader.
@@ -86,6 +88,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		if err := CheckFields(b.resp.Trailer); err != nil {
+			if b.onMalformed != nil {
+				b.onMalformed()
+			}
 			return n, fmt.Errorf("trailer: %w", err)
 		}
 	}
--- a/internal/logservice/log.go
+++ b/internal/logservice/log.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/httphead"
 )
 
 // ErrUnavailable means that the service could not be reached or refused the
@@ -65,8 +67,8 @@
 	return &LogClient{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: newTransport()}}
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+func newTransport() http.RoundTripper {
+	return httphead.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 }
 
 // Append implements Log.
