fleet, entry: a response that another instance passes on is checked as well

What callers could see: a response whose sending instance does not check it, as one of an earlier version beside new ones, reached the caller through a new instance. On the owners' interface, a 503 with Trefoilstream-Not-Run and a malformed field made an unsafe request run a second time. No caller reported it; found by looking for the cause wherever responses are read.

Cause: receiveReply and exchange believed the head that they got. receiveReply also took a reply for complete that had no head, a body before its head, or two heads.

Evidence, before this commit: fleet.TestBrokenRepliesOfInstancesAreNotPassedOn fails for no head, a body before the head, a second head, status 0, 99 and 103, a blank in a name and a line feed in a value. entry.TestDispatchRetries fails for "malformed", "status 0" and "status 99, idempotent".

Why this works: httphead.CheckFinal is asked about the status and the fields before the head is passed on. The outcome is that of a broken connection: the request may have run, and a repeatable one goes to another server.

Measured after: the tests above and the packages' others pass with the race detector.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/httphead"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 )
 
@@ -138,6 +139,9 @@
 	for _, h := range head.Headers {
 		header.Add(h.Name, h.Value)
 	}
+	if err := httphead.CheckFinal(int(head.Status), header); err != nil {
+		return result{err: errkind.Errorf(errkind.BackendFailed, "owner passed on: %w", err), retryElsewhere: true}
+	}
 	body := &responseBody{stream: stream}
 	return result{response: &Response{Status: int(head.Status), Header: header, ContentLength: head.ContentLength, Body: body}}
 }
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -165,6 +165,9 @@
 func TestDispatchRetries(t *testing.T) {
 	notRun := &peerpb.Header{Name: "Trefoilstream-Not-Run", Value: "true"}
 	breakOff := func(peerpb.DRPCOwner_ExecuteStream) error { return io.ErrUnexpectedEOF }
+	malformed := func(s peerpb.DRPCOwner_ExecuteStream) error {
+		return respond(s, 503, "none", notRun, &peerpb.Header{Name: "Bad Name", Value: "1"})
+	}
 	for name, c := range map[string]struct {
 		first      func(peerpb.DRPCOwner_ExecuteStream) error
 		idempotent bool
@@ -180,6 +183,10 @@
 		"bare shed is passed on":        {shed(), false, 1, "503 busy"},
 		"bare shed, idempotent":         {shed(), true, 2, "200 done"},
 		"shed with proof":               {shed(notRun), false, 2, "200 done"},
+		"malformed":                     {malformed, false, 1, "backend_failed unknown"},
+		"malformed, idempotent":         {malformed, true, 2, "200 done"},
+		"status 0":                      {func(s peerpb.DRPCOwner_ExecuteStream) error { return respond(s, 0, "none") }, false, 1, "backend_failed unknown"},
+		"status 99, idempotent":         {func(s peerpb.DRPCOwner_ExecuteStream) error { return respond(s, 99, "none") }, true, 2, "200 done"},
 		"client error is not retried":   {func(s peerpb.DRPCOwner_ExecuteStream) error { return respond(s, 404, "none") }, true, 1, "404 none"},
 		"deadline at the backend":       {refuse(errkind.DeadlineExceeded, false, false), true, 1, "deadline_exceeded unknown"},
 		"deadline in the owner's queue": {refuse(errkind.DeadlineExceededQueued, true, false), true, 1, "deadline_exceeded_queued not_run"},
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/httphead"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
@@ -104,11 +105,18 @@
 			return dispatch.Outcome(frame.Failure), errors.New(frame.Cause)
 		}
 		if frame.Head != nil {
+			h := headersFromProto(frame.Head.Headers)
+			if err := checkHead(status, int(frame.Head.Status), h); err != nil {
+				return dispatch.Dropped, fmt.Errorf("sending instance: %w", err)
+			}
 			status = int(frame.Head.Status)
-			if err := reply.Head(status, headersFromProto(frame.Head.Headers), frame.Head.Length); err != nil {
+			if err := reply.Head(status, h, frame.Head.Length); err != nil {
 				return dispatch.Cancelled, err
 			}
 		}
+		if status == 0 {
+			return dispatch.Dropped, errors.New("sending instance passed on a response without a head")
+		}
 		if len(frame.Body) > 0 {
 			if err := reply.Body(frame.Body); err != nil {
 				return dispatch.Cancelled, err
@@ -123,6 +131,16 @@
 	}
 }
 
+// checkHead checks the head of a response that another instance passes on; before is the
+// status of an earlier head, or 0. The sending instance has checked it already, unless its
+// version does not.
+func checkHead(before, status int, h http.Header) error {
+	if before != 0 {
+		return errors.New("second head of a response")
+	}
+	return httphead.CheckFinal(status, h)
+}
+
 func requestHead(j *sender.Job) *peerpb.SendHead {
 	return &peerpb.SendHead{
 		Server: j.Server, Address: j.Address, Method: j.Method, Uri: j.URI, Host: j.Host, Headers: headersToProto(j.Header),
--- a/internal/fleet/send_test.go
+++ b/internal/fleet/send_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
 
@@ -43,3 +45,69 @@
 		t.Errorf("once it stops: %s, want unsent", got)
 	}
 }
+
+// replyStream yields the frames of a reply and then ends, as a stream does whose instance has
+// stopped.
+type replyStream struct {
+	peerpb.DRPCCoordination_SendClient
+	frames []*peerpb.ReplyFrame
+}
+
+// Recv implements peerpb.DRPCCoordination_SendClient.
+func (s *replyStream) Recv() (*peerpb.ReplyFrame, error) {
+	if len(s.frames) == 0 {
+		return nil, io.EOF
+	}
+	f := s.frames[0]
+	s.frames = s.frames[1:]
+	return f, nil
+}
+
+// bodyCollector keeps the body of a reply.
+type bodyCollector struct{ body string }
+
+// Head implements sender.Reply.
+func (*bodyCollector) Head(int, http.Header, int64) error { return nil }
+
+// Body implements sender.Reply.
+func (c *bodyCollector) Body(p []byte) error {
+	c.body += string(p)
+	return nil
+}
+
+// Guards against a response from another instance that is passed on although it is unfinished,
+// or although it is none: an instance of an earlier version may not check responses.
+func TestBrokenRepliesOfInstancesAreNotPassedOn(t *testing.T) {
+	head := func(status int32, name, value string) *peerpb.ReplyFrame {
+		return &peerpb.ReplyFrame{Head: &peerpb.ReplyHead{Status: status, Headers: []*peerpb.Header{{Name: name, Value: value}}, Length: 4}}
+	}
+	body := &peerpb.ReplyFrame{Body: []byte("part")}
+	end := &peerpb.ReplyFrame{End: true}
+	for _, c := range []struct {
+		name   string
+		frames []*peerpb.ReplyFrame
+		want   dispatch.Outcome
+	}{
+		{"complete", []*peerpb.ReplyFrame{head(200, "Name", "1"), body, end}, dispatch.Served},
+		{"complete failure", []*peerpb.ReplyFrame{head(500, "Name", "1"), body, end}, dispatch.Failed},
+		{"nothing", nil, dispatch.Dropped},
+		{"ends after the head", []*peerpb.ReplyFrame{head(200, "Name", "1")}, dispatch.Dropped},
+		{"ends after the body", []*peerpb.ReplyFrame{head(200, "Name", "1"), body}, dispatch.Dropped},
+		{"failure after the body", []*peerpb.ReplyFrame{head(200, "Name", "1"), body, {Failure: uint32(dispatch.Dropped), Cause: "cut off"}}, dispatch.Dropped},
+		{"no head", []*peerpb.ReplyFrame{end}, dispatch.Dropped},
+		{"body before the head", []*peerpb.ReplyFrame{body, head(200, "Name", "1"), end}, dispatch.Dropped},
+		{"second head", []*peerpb.ReplyFrame{head(200, "Name", "1"), head(200, "Name", "1"), body, end}, dispatch.Dropped},
+		{"status 0", []*peerpb.ReplyFrame{head(0, "Name", "1"), body, end}, dispatch.Dropped},
+		{"status 99", []*peerpb.ReplyFrame{head(99, "Name", "1"), body, end}, dispatch.Dropped},
+		{"interim status", []*peerpb.ReplyFrame{head(103, "Name", "1"), body, end}, dispatch.Dropped},
+		{"blank in a name", []*peerpb.ReplyFrame{head(200, "Bad Name", "1"), body, end}, dispatch.Dropped},
+		{"line feed in a value", []*peerpb.ReplyFrame{head(200, "Name", "1\nNot-Run: 1"), body, end}, dispatch.Dropped},
+	} {
+		got := &bodyCollector{}
+		outcome, err := receiveReply(t.Context(), &replyStream{frames: c.frames}, got)
+		complete := c.want != dispatch.Dropped
+		if outcome != c.want || (err == nil) != complete || complete && got.body != "part" {
+			t.Errorf("%s: %s, body %q, error %v; want %s", c.name, outcome, got.body, err, c.want)
+		}
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -26,7 +26,7 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return fmt.Errorf("%w: version %s", ErrMalformed, resp.Proto)
-	case !ValidStatus(resp.StatusCode):
+	case resp.StatusCode < 100:
 		return fmt.Errorf("%w: status %s", ErrMalformed, status)
 	case !httpguts.ValidHeaderFieldValue(reason):
 		return fmt.Errorf("%w: reason phrase %q", ErrMalformed, reason)
@@ -40,6 +40,15 @@
 	return nil
 }
 
+// CheckFinal returns an error that wraps ErrMalformed if a status code and a header cannot be
+// those of a final response.
+func CheckFinal(status int, h http.Header) error {
+	if status < 200 || status > 999 {
+		return fmt.Errorf("%w: status %d", ErrMalformed, status)
+	}
+	return CheckFields(h)
+}
+
 // CheckHTTP10 returns an error that wraps ErrMalformed if the head of an HTTP/1.0 response, as
 // it was read, has a Transfer-Encoding, which HTTP/1.0 does not define: the end of the
 // response is unknown. http.ReadResponse removes the field and ignores it.
@@ -55,10 +64,6 @@
 	return nil
 }
 
-// ValidStatus reports whether a status code can be that of a response. Codes above 599 have
-// no meaning in RFC 9110, but are treated as failures of the server, as it recommends.
-func ValidStatus(code int) bool { return code >= 100 && code <= 999 }
-
 // CheckFields returns an error that wraps ErrMalformed if a name or a value is not allowed in
 // a header or a trailer.
 func CheckFields(h http.Header) error {
@@ -68,7 +73,7 @@
 				return fmt.Errorf("%w: field name %q", ErrMalformed, name)
 			}
 			if !httpguts.ValidHeaderFieldValue(v) {
-				return fmt.Errorf("%w: value %q of field %s", ErrMalformed, v, name)
+				return fmt.Errorf("%w: value of field %s has control characters", ErrMalformed, name)
 			}
 		}
 	}
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// Guards against a status that no client reads as one of a final response.
+func TestCheckFinal(t *testing.T) {
+	for status, valid := range map[int]bool{-200: false, 0: false, 99: false, 103: false, 200: true, 599: true, 999: true, 1000: false} {
+		if err := CheckFinal(status, http.Header{"A": {"1"}}); (err == nil) != valid || err != nil && !errors.Is(err, ErrMalformed) {
+			t.Errorf("status %d: error %v", status, err)
+		}
+	}
+	if err := CheckFinal(200, http.Header{"Bad Name": {"1"}}); !errors.Is(err, ErrMalformed) {
+		t.Errorf("error %v for a blank in a name", err)
+	}
+}
+
 // Guards against a body that holds the framing of its chunks.
 func TestCheckHTTP10(t *testing.T) {
 	for head, valid := range map[string]bool{
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -285,8 +285,8 @@
 	}
 }
 
-// Guards against a truncated response that ends like a complete one, a
-// Trefoilstream-Not-Run refusal that is passed on as a response, and a caller's
+// Guards against a truncated response that ends like a complete one, a malformed one
+// that is believed, a Trefoilstream-Not-Run refusal that is passed on as a response, and a caller's
 // key that reaches a backend server.
 func TestAnswers(t *testing.T) {
 	var seen bytes.Buffer
@@ -295,6 +295,14 @@
 		case "/short":
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "ok")
+		case "/malformed":
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nTrefoilstream-Not-Run: true\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
 		case "/refused":
 			w.Header().Set("Trefoilstream-Not-Run", "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -308,6 +316,9 @@
 	if r := f.get("s1", "a", "/short"); r.ended || r.refusal == nil || r.refusal.NotRun {
 		t.Errorf("truncated response: %+v", r)
 	}
+	if r := f.get("s1", "a", "/malformed"); r.status != 0 || r.refusal == nil || r.refusal.NotRun || r.refusal.Kind != string(errkind.BackendFailed) {
+		t.Errorf("malformed response: %+v", r)
+	}
 	if r := f.get("s1", "a", "/refused"); r.status != 0 || r.refusal == nil || !r.refusal.NotRun || !r.refusal.RetryElsewhere {
 		t.Errorf("refusal before the request ran: %+v", r)
 	}
