ingress: an unfinished download to an HTTP/1.0 caller is reset

What callers could see: a caller with HTTP/1.0 got the beginning of a long response without a length, and an orderly close, when the server's response was cut off, or when the instance was killed. To such a caller that is a complete response. No caller reported it; found with the question what a stop or a lost stream leaves unfinished.

Cause: the counterpart of the response that is cut off during an upload, on the writing side: the end of the connection is the end of the body there, and the connection was closed in order whether the body was complete or not.

Why this works: while such a response is written, the connection's linger time is 0, so that any close resets it, that by the system at the end of the process too. It is orderly again once the body is complete. TestStreamToHTTP10EndsWithItsConnection (20 downloads of 2 MB) passes before and after.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -317,6 +317,20 @@
 	}
 }
 
+// setResetOnClose makes any close of the connection a reset, also that by the system when
+// the process ends, or makes it orderly again.
+func (c *conn) setResetOnClose(reset bool) {
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds)
+}
+
 // closeAfterLast ends a connection after its last response. It closes the write
 // side first, so that the caller can read the response to its end.
 func (c *conn) closeAfterLast(complete bool) {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -213,19 +213,41 @@
 
 // Guards against a truncated response that looks complete to the caller.
 func TestBrokenStreamIsCutOff(t *testing.T) {
+	for _, length := range []int64{-1, 100} {
+		_, l := listen(t, &handler{serve: func(_ context.Context, _ *Request, w *Response) {
+			w.Start(http.StatusOK, http.Header{}, length)
+			_ = w.WritePart([]byte("part"))
+			w.Finish(false)
+		}})
+		for _, version := range []string{"1.0", "1.1"} {
+			c, r := dial(t, l)
+			_, _ = io.WriteString(c, "GET / HTTP/"+version+"\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(r, nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			if err == nil {
+				t.Errorf("HTTP/%s, length %d: the truncated response looks complete", version, length)
+			}
+		}
+	}
+}
+
+// Guards against resetting a connection whose end is the end of a complete response.
+func TestStreamToHTTP10EndsWithItsConnection(t *testing.T) {
 	_, l := listen(t, &handler{serve: func(_ context.Context, _ *Request, w *Response) {
 		w.Start(http.StatusOK, http.Header{}, -1)
-		_ = w.WritePart([]byte("part"))
-		w.Finish(false)
+		for range 64 {
+			_ = w.WritePart(make([]byte, 32<<10))
+		}
+		w.Finish(true)
 	}})
-	c, r := dial(t, l)
-	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	resp, err := http.ReadResponse(r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.ReadAll(resp.Body); err == nil {
-		t.Error("the truncated response looks complete")
+	for range 20 {
+		c, r := dial(t, l)
+		_, _ = io.WriteString(c, "GET / HTTP/1.0\r\n\r\n")
+		if _, body := readResponse(t, r); len(body) != 2<<20 {
+			t.Errorf("%d bytes", len(body))
+		}
 	}
 }
 
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -153,8 +153,9 @@
 }
 
 // Finish ends a response that was begun with Start. If it is incomplete, the
-// connection is closed before the end of the body, so that the caller cannot
-// take the response for a complete one.
+// connection is closed before the end of the body, or reset if the end of the
+// connection is that of the body, so that the caller cannot take the response for a
+// complete one.
 func (w *Response) Finish(complete bool) {
 	w.truncated = !complete
 	close(w.stream)
@@ -220,13 +221,15 @@
 }
 
 func (w *Response) writeStream(out *bufio.Writer) bool {
-	chunked := w.length < 0
-	if chunked && w.req.http10 {
+	chunked := w.length < 0 && !w.req.http10
+	untilClose := w.length < 0 && w.req.http10
+	if untilClose {
 		w.last = true
+		w.conn.setResetOnClose(true)
 	}
 	w.writeHead(out, w.length)
 	for p := range w.stream {
-		if chunked && !w.req.http10 {
+		if chunked {
 			_, _ = fmt.Fprintf(out, "%x\r\n%s\r\n", len(p), p)
 		} else {
 			_, _ = out.Write(p)
@@ -238,10 +241,16 @@
 	if w.truncated {
 		return false
 	}
-	if chunked && !w.req.http10 {
+	if chunked {
 		_, _ = io.WriteString(out, "0\r\n\r\n")
 	}
-	return out.Flush() == nil
+	if out.Flush() != nil {
+		return false
+	}
+	if untilClose {
+		w.conn.setResetOnClose(false)
+	}
+	return true
 }
 
 // noBody reports whether responses with this status have neither a body nor a
