--- a/internal/ctl/client_test.go
+++ b/internal/ctl/client_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/standin"
 )
 
 // Guards against reporting a change as applied by a malformed or truncated response.
@@ -18,15 +18,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\n\r\n{",
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			c, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, response)
-			_ = c.Close()
-		}))
+		server := httptest.NewServer(standin.RawResponse{Bytes: response})
 		defer server.Close()
 		c, err := newClient(server.URL, "key", nil)
 		if err != nil {
--- a/internal/logservice/log_test.go
+++ b/internal/logservice/log_test.go
@@ -1,28 +1,13 @@
-package logservice
+package logservice_test
 
 import (
 	"errors"
-	"io"
-	"net/http"
 	"net/http/httptest"
 	"testing"
-)
 
-// startRaw starts a service that responds to each request with the same bytes.
-func startRaw(t *testing.T, response string) string {
-	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, response)
-		_ = c.Close()
-	}))
-	t.Cleanup(server.Close)
-	return server.URL
-}
+	"trefoilstream.example/trefoilstream/internal/logservice"
+	"trefoilstream.example/trefoilstream/internal/standin"
+)
 
 // Guards against believing a malformed or truncated response of the log or of the instance
 // list. After one to an append it is unknown whether the record was written.
@@ -35,14 +20,16 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\":5}",
 		"HTTP/1.1 200 OK\r\n\r\n{\"offset\":5",
 	} {
-		url := startRaw(t, response)
-		if offset, err := NewLogClient(url).Append(t.Context(), []byte("a")); !errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnavailable) {
+		server := httptest.NewServer(standin.RawResponse{Bytes: response})
+		defer server.Close()
+		url := server.URL
+		if offset, err := logservice.NewLogClient(url).Append(t.Context(), []byte("a")); !errors.Is(err, logservice.ErrUnknown) || errors.Is(err, logservice.ErrUnavailable) {
 			t.Errorf("%q: appended at %d, error %v; want ErrUnknown", response, offset, err)
 		}
-		if page, err := NewLogClient(url).Read(t.Context(), 0, 0, 1); err == nil {
+		if page, err := logservice.NewLogClient(url).Read(t.Context(), 0, 0, 1); err == nil {
 			t.Errorf("%q: counts as the page %+v", response, page)
 		}
-		if list, err := NewInstanceListClient(url).Instances(t.Context()); err == nil {
+		if list, err := logservice.NewInstanceListClient(url).Instances(t.Context()); err == nil {
 			t.Errorf("%q: counts as the list %+v", response, list)
 		}
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -20,6 +20,7 @@
 	"trefoilstream.example/trefoilstream/internal/health"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/slots"
+	"trefoilstream.example/trefoilstream/internal/standin"
 )
 
 func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
@@ -296,13 +297,7 @@
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "ok")
 		case "/malformed":
-			c, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nTrefoilstream-Not-Run: true\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n")
-			_ = c.Close()
+			standin.RawResponse{Bytes: "HTTP/1.1 503 X\r\nTrefoilstream-Not-Run: true\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n"}.ServeHTTP(w, r)
 		case "/refused":
 			w.Header().Set("Trefoilstream-Not-Run", "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
