ingress: the test of a broken stream demands the head again, and a reset for HTTP/1.0

It fails again, for each case but the one whose connection is reset, where the reset may overtake the head. That case demands the reset itself now (ECONNRESET), as the test of package entry does.

On scratch copies: without the linger time the HTTP/1.0 case fails, without the head the HTTP/1.1 case.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,13 +224,21 @@
 		for _, version := range []string{"1.0", "1.1"} {
 			c, r := dial(t, l)
 			_, _ = io.WriteString(c, "GET / HTTP/"+version+"\r\nHost: h\r\n\r\n")
+			untilClose := version == "1.0" && length < 0
 			resp, err := http.ReadResponse(r, nil)
+			if err != nil && !untilClose {
+				t.Fatalf("HTTP/%s, length %d: %v", version, length, err)
+			}
 			if err == nil {
 				_, err = io.ReadAll(resp.Body)
 			}
 			if err == nil {
 				t.Errorf("HTTP/%s, length %d: the truncated response looks complete", version, length)
 			}
+			// A reset may overtake the head.
+			if untilClose && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("HTTP/%s, length %d: %v, want a reset", version, length, err)
+			}
 		}
 	}
 }
