ingress: accepting goes on when the descriptors run out, and idle connections make room

The instance said that it was ready.

Cause: Server.Serve returned on each error of Accept that is no timeout, EMFILE among them. And callers could take all descriptors, also those that connections to servers, other instances and the store need.

Now: every error but that of a closed listener is temporary. When they are used up, the connection is closed that callers miss least: the one that has been idle for longest, one without any request counted eight times. Half a head gets 503 instance_full, not_run. A connection whose request has been read is never closed for that; if there is no other, new ones wait in the listener's queue.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -6,14 +6,10 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"trefoilstream.example/trefoilstream/internal/catalog"
-	"trefoilstream.example/trefoilstream/internal/errkind"
 )
 
 // conn is one connection of a caller. One goroutine reads requests, another
@@ -29,38 +25,25 @@
 	// each in turn.
 	responses chan *Response
 
+	// lastRead is when bytes of a request arrived last, in Unix nanoseconds.
+	lastRead atomic.Int64
+
 	mu sync.Mutex
 	// pending counts the requests that are being read or await a response.
-	pending   int
+	pending int
+	// served counts the requests that have ended.
+	served    int
 	idleSince time.Time
 	closed    bool
 	finished  bool
-}
+	// isReading is set while a request is being read.
+	isReading bool
+	// evicted is set if the request that is being read has to give way.
+	evicted bool
 
-// limitedReader bounds the bytes of a request's head.
-type limitedReader struct {
-	r    io.Reader
-	left int
-}
-
-var errHeadTooLarge = errors.New("head of the request is too large")
-
-// unlimited disables the bound, as while a body is read.
-const unlimited = int(^uint(0) >> 1)
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	if len(p) > l.left {
-		p = p[:l.left]
-	}
-	n, err := l.r.Read(p)
-	if l.left != unlimited {
-		l.left -= n
-	}
-	return n, err
+	// leaving is set if the server has closed the connection to make room. It is guarded by the
+	// server's mutex.
+	leaving bool
 }
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -69,10 +52,12 @@
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &limitedReader{r: raw, left: unlimited}
-	return &conn{
+	c := &conn{
 		server: s, raw: raw, limit: l, reader: bufio.NewReaderSize(l, readBufferBytes), ctx: ctx, cancel: cancel,
 		responses: make(chan *Response, maxPipelined), idleSince: time.Now(),
 	}
+	l.arrived = &c.lastRead
+	return c
 }
 
 func (c *conn) serve() {
@@ -96,19 +81,6 @@
 	_ = c.raw.Close()
 }
 
-// closeIfIdle closes the connection if it has no pending request.
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	idle := c.pending == 0
-	if idle {
-		c.closed = true
-	}
-	c.mu.Unlock()
-	if idle {
-		_ = c.raw.Close()
-	}
-}
-
 // beginRequest counts a request that is being read. It returns false if the
 // connection is closed.
 func (c *conn) beginRequest() bool {
@@ -135,6 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.served++
 	c.server.active.Add(-1)
 	c.idleSince = time.Now()
 }
@@ -147,7 +120,12 @@
 			return
 		}
 		limits := c.server.limits()
+		c.setReading(true)
 		r, reqErr := c.readRequest(limits)
+		c.setReading(false)
+		if c.isEvicted() {
+			r, reqErr = nil, instanceFull(errors.New("request was not received in time to hold its memory or connection any longer"))
+		}
 		if reqErr == nil && r == nil {
 			c.endRequest()
 			c.cancel()
@@ -223,82 +201,14 @@
 
 // lingerAfterError discards the rest of a refused request, up to 1 MiB of it.
 func (c *conn) lingerAfterError() {
+	if c.isEvicted() {
+		return
+	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 	c.limit.left = unlimited
 	_, _ = io.CopyN(io.Discard, c.reader, 1<<20)
 }
 
-// readRequest reads a request with its body. It returns neither a request nor
-// an error if the caller has disconnected.
-func (c *conn) readRequest(l catalog.Limits) (*Request, error) {
-	start := time.Now()
-	_ = c.raw.SetReadDeadline(start.Add(l.HeaderTimeout))
-	c.limit.left = max(0, l.HeaderBytes-c.reader.Buffered()) + readAheadBytes
-	in, err := http.ReadRequest(c.reader)
-	if err != nil {
-		return nil, headError(err)
-	}
-	c.limit.left = unlimited
-	_ = c.raw.SetReadDeadline(start.Add(bodyTimeout))
-	if err := checkFraming(in); err != nil {
-		return nil, err
-	}
-	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") && c.isOnlyPending() {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil
-		}
-	}
-	body, err := readBody(in, l.BodyBytes)
-	if errors.Is(err, errBodyTooLarge) {
-		return nil, errkind.Errorf(errkind.BodyTooLarge, "%w", err)
-	}
-	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, errkind.Errorf(errkind.RequestTimeout, "%w", err)
-		}
-		var ne net.Error
-		if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne) {
-			return nil, nil
-		}
-		return nil, errkind.Errorf(errkind.BadRequest, "%w", err)
-	}
-	return newRequest(in, body, time.Now()), nil
-}
-
-const (
-	// readAheadBytes is added to the header limit, since the buffered reader
-	// reads ahead.
-	readAheadBytes = readBufferBytes
-	// bodyTimeout bounds the time to read a request, from its first byte to
-	// the end of its body.
-	bodyTimeout = 30 * time.Second
-)
-
-// headError returns the error for a head that could not be read, or nil if the
-// caller has disconnected.
-func headError(err error) error {
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		return errkind.Errorf(errkind.HeadTooLarge, "%w", err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errkind.Errorf(errkind.RequestTimeout, "%w", err)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil
-	}
-	var ne net.Error
-	if errors.As(err, &ne) {
-		return nil
-	}
-	return errkind.Errorf(errkind.BadRequest, "%w", err)
-}
-
-// isOnlyPending reports whether no earlier response is outstanding.
-func (c *conn) isOnlyPending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending == 1
-}
-
 // write writes the responses in order.
 func (c *conn) write() {
 	w := bufio.NewWriterSize(c.raw, readBufferBytes)
--- /dev/null
+++ b/internal/ingress/room.go
@@ -0,0 +1,105 @@
+package ingress
+
+import "time"
+
+func (s *Server) hasRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MaxConnections <= 0 || len(s.conns)-s.leaving < s.MaxConnections
+}
+
+// maxLeaving bounds the connections that are being closed and still use a descriptor.
+const maxLeaving = 32
+
+// makeRoom closes the connection that callers miss least, and reports whether there is one.
+func (s *Server) makeRoom(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving >= maxLeaving {
+		return false
+	}
+	var least *conn
+	longest := time.Duration(0)
+	for c := range s.conns {
+		if waited := c.idleFor(now); waited > longest {
+			least, longest = c, waited
+		}
+	}
+	if least == nil || !least.closeIfIdle() && !least.evictRequest() {
+		return false
+	}
+	least.leaving = true
+	s.leaving++
+	return true
+}
+
+// closeIfIdle closes the connection if it has no pending request, and reports whether it did.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	idle := c.pending == 0
+	if idle {
+		c.closed = true
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = c.raw.Close()
+	}
+	return idle
+}
+
+// evictRequest makes the request that is being read end with a refusal, and reports whether
+// there is one. The connection must have no other request.
+func (c *conn) evictRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isReading || c.pending > 1 {
+		return false
+	}
+	c.evicted = true
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// unusedWeight times its idle time is how long a connection counts as idle on which no request
+// has ended: callers that keep their connections for further requests come first.
+const unusedWeight = 8
+
+// idleFor returns how long the connection has neither served nor received anything, weighted by
+// its use; 0 if it cannot be closed without cutting off a request that was read.
+func (c *conn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.idleSince
+	switch {
+	case c.leaving || c.closed || c.pending > 1 || c.pending == 1 && !c.isReading:
+		return 0
+	case c.isReading:
+		since = time.Unix(0, c.lastRead.Load())
+	}
+	if c.served == 0 {
+		return unusedWeight * now.Sub(since)
+	}
+	return now.Sub(since)
+}
+
+// setReading notes whether a request is being read.
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	c.isReading = reading
+	c.mu.Unlock()
+}
+
+// setReadDeadline sets the deadline for reading a request, unless the request was evicted.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		_ = c.raw.SetReadDeadline(t)
+	}
+}
+
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"trefoilstream.example/trefoilstream/internal/catalog"
 )
 
@@ -37,9 +40,13 @@
 // Server accepts connections of callers.
 type Server struct {
 	handler Handler
+	// MaxConnections bounds the open connections, if it is set before Serve; 0 does not.
+	MaxConnections int
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// leaving counts the connections that are being closed to make room.
+	leaving  int
 	draining atomic.Bool
 	active   atomic.Int64
 }
@@ -47,15 +54,30 @@
 // NewServer returns a server that does not listen yet.
 func NewServer(h Handler) *Server { return &Server{handler: h, conns: make(map[*conn]struct{})} }
 
-// Serve accepts connections until the listener is closed.
+// roomPoll is how often the server looks for room while it cannot accept a connection.
+const roomPoll = 10 * time.Millisecond
+
+// Serve accepts connections until the listener is closed. Other errors, such as the lack of
+// descriptors, are temporary: connections wait in the listener's queue until others end.
 func (s *Server) Serve(l net.Listener) {
+	failing := false
 	for {
 		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
+			if !failing {
+				log.WithField("event", "accept_failed").WithError(err).Warn("connections of callers cannot be accepted")
 			}
-			return
+			failing = true
+			s.makeRoom(time.Now())
+			time.Sleep(roomPoll)
+			continue
+		}
+		failing = false
+		for !s.hasRoom() && !s.makeRoom(time.Now()) {
+			time.Sleep(roomPoll)
 		}
 		c := newConn(s, raw)
 		s.mu.Lock()
@@ -83,8 +105,11 @@
 
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.conns, c)
-	s.mu.Unlock()
+	if c.leaving {
+		s.leaving--
+	}
 }
 
 // limits returns the active limits, with defaults for those that are unset.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -85,6 +85,7 @@
 	recorder := metrics.New()
 	handler := forward.New(f, a.Dialect, observers{requests, metricsObserver{recorder}})
 	server := ingress.NewServer(handler)
+	server.MaxConnections = maxConnections(descriptors(s))
 	go func() { _ = f.Serve(ctx, peers) }()
 	go f.Run(ctx)
 	go server.Serve(callers)
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -34,6 +34,8 @@
 	FirstStart bool
 	// Capacity is the CPU share of the instance, in cores.
 	Capacity string
+	// Descriptors is how many descriptors the process may have open. Empty, it asks the system.
+	Descriptors string
 }
 
 func (s *Instance) options() []option {
@@ -49,6 +51,7 @@
 		{"policy", "for trials: values of the dispatch policy that differ from the defaults, as JSON", &s.Policy},
 		{"first-start", "the whole fleet starts for the first time", &s.FirstStart},
 		{"capacity", "share of processors that the instance may use, in cores", &s.Capacity},
+		{"file-descriptors", "descriptors that the instance may have open; by default the limit of the process", &s.Descriptors},
 		{"log-level", "debug, info, warn or error", &s.LogLevel},
 	}
 }
@@ -97,6 +100,9 @@
 			addErr("capacity", "%q is not a positive number of cores", s.Capacity)
 		}
 	}
+	if v, err := strconv.ParseInt(s.Descriptors, 10, 32); s.Descriptors != "" && (err != nil || v <= 0) {
+		addErr("file-descriptors", "%q is not a positive number", s.Descriptors)
+	}
 	for _, a := range s.SeedList() {
 		if _, _, err := net.SplitHostPort(a); err != nil {
 			addErr("seeds", "%q is not host:port", a)
@@ -113,6 +119,15 @@
 	return 1
 }
 
+// DescriptorCount returns how many descriptors may be open, or 0 if it is not set.
+func (s *Instance) DescriptorCount() int {
+	n, err := strconv.Atoi(s.Descriptors)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // SeedList splits Seeds into addresses.
 func (s *Instance) SeedList() []string {
 	var out []string
