ingress: a response that waits behind another one ends with its caller or its time limit

The instance kept each download's first MiB, a goroutine and a permit for ever, until it was killed over its memory, and the requests on other connections were cut.

Cause: WritePart waited for the writer of its own response; the writer, which had given the connection up, waited for the handler. The context of the request did not reach WritePart, and a caller that takes nothing had no time limit.

Now WritePart also ends with the connection and with the attempt, whose deadline is that of the route. The connection's writer gives up what it has not begun. A caller must take each 32 KiB of a response within 30 s, and a part is held once less, since it is handed over when the one before it is written.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,7 +61,7 @@
 	r.summary.Waited = time.Since(r.in.Arrived)
 	r.summarize(p)
 	sendCtx, giveUp := context.WithCancel(ctx)
-	s := &send{permit: p, reply: &collector{w: r.w, streamer: &r.streamer}, start: time.Now(), giveUp: giveUp, ended: make(chan struct{})}
+	s := &send{permit: p, reply: &collector{ctx: sendCtx, w: r.w, streamer: &r.streamer}, start: time.Now(), giveUp: giveUp, ended: make(chan struct{})}
 	job := &sender.Job{
 		Method: r.in.Method, URI: r.in.URI, Host: r.in.Host, Header: r.in.Header, RequestID: r.caller.RequestID,
 		Team: r.team, Body: r.in.Body, Deadline: r.deadline, Repeatable: r.route.Kind.Repeatable(),
--- a/internal/forward/collector.go
+++ b/internal/forward/collector.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"trefoilstream.example/trefoilstream/internal/ingress"
@@ -11,9 +13,14 @@
 // complete, so that a request whose response is cut off can be retried.
 const maxBufferedBytes = 1 << 20
 
+// partBytes is the size of the parts in which a buffered body is passed on.
+const partBytes = 32 << 10
+
 // collector buffers a response. It streams a response that exceeds
 // maxBufferedBytes to the caller.
 type collector struct {
+	// ctx ends with the attempt.
+	ctx    context.Context
 	w      *ingress.Response
 	status int
 	header http.Header
@@ -46,7 +53,7 @@
 func (c *collector) Body(p []byte) error {
 	c.received += int64(len(p))
 	if c.streaming {
-		return c.w.WritePart(p)
+		return c.w.WritePart(c.ctx, p)
 	}
 	if len(c.body)+len(p) <= maxBufferedBytes {
 		c.body = append(c.body, p...)
@@ -57,9 +64,11 @@
 	}
 	c.streaming = true
 	c.w.Start(c.status, c.header, c.length)
-	if err := c.w.WritePart(c.body); err != nil {
-		return err
+	for part := range slices.Chunk(c.body, partBytes) {
+		if err := c.w.WritePart(c.ctx, part); err != nil {
+			return err
+		}
 	}
 	c.body = nil
-	return c.w.WritePart(p)
+	return c.w.WritePart(c.ctx, p)
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -211,22 +211,52 @@
 
 // write writes the responses in order.
 func (c *conn) write() {
-	w := bufio.NewWriterSize(c.raw, readBufferBytes)
+	w := bufio.NewWriterSize(callerWriter{c.raw}, readBufferBytes)
 	for r := range c.responses {
 		ok := r.writeTo(w)
 		last := r.last
-		c.endRequest()
+		if ok {
+			c.endRequest()
+		}
 		if !ok || last {
 			c.closeAfterLast(ok)
+			if !ok {
+				c.giveUp(r)
+			}
 			for r := range c.responses {
-				<-r.done
-				c.endRequest()
+				c.giveUp(r)
 			}
 			return
 		}
 	}
 }
 
+// giveUp ends a request whose response is not written.
+func (c *conn) giveUp(r *Response) {
+	<-r.done
+	c.endRequest()
+}
+
+const (
+	// writeTimeout bounds the time in which a caller takes writePieceBytes of a response.
+	writeTimeout    = 30 * time.Second
+	writePieceBytes = 32 << 10
+)
+
+// callerWriter writes to the caller in pieces, each of which must be taken in time.
+type callerWriter struct{ raw net.Conn }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		_ = w.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+		var m int
+		m, err = w.raw.Write(p[n:min(len(p), n+writePieceBytes)])
+		n += m
+	}
+	return n, err
+}
+
 // setResetOnClose makes any close of the connection a reset, also that by the system when
 // the process ends, or makes it orderly again.
 func (c *conn) setResetOnClose(reset bool) {
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -28,6 +28,15 @@
 	return l
 }
 
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
 // wantRefusal checks that the response is a refusal that says why, that the request has not
 // run, when to come back, and that the connection closes.
 func wantRefusal(t *testing.T, resp *http.Response, body string, kind errkind.Kind) {
@@ -114,3 +123,62 @@
 	_ = inner.Close()
 	<-done
 }
+
+// Guards against a handler that waits for ever for a caller that has left, while its response
+// waits behind another one (LOST).
+func TestStreamBehindAnotherEndsWithItsCaller(t *testing.T) {
+	ended := make(chan struct{}, 4)
+	s, l := listen(t, &handler{serve: func(ctx context.Context, r *Request, w *Response) {
+		defer func() { ended <- struct{}{} }()
+		if r.URI == "/first" {
+			<-ctx.Done()
+			return
+		}
+		w.Start(http.StatusOK, http.Header{}, -1)
+		// The handler's own context goes on, as that of a request with a long time limit.
+		for range 3 {
+			_ = w.WritePart(context.Background(), make([]byte, 32<<10))
+		}
+		w.Finish(false)
+	}})
+	c, _ := dial(t, l)
+	_, _ = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"+strings.Repeat("GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 3))
+	eventually(t, "all requests are served", func() bool { return s.Active() >= 4 })
+	_ = c.Close()
+	for range 4 {
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a handler still waits for its caller")
+		}
+	}
+}
+
+// Guards against a part that is held for longer than its request may last.
+func TestPartIsGivenUpWithItsContext(t *testing.T) {
+	result := make(chan error, 1)
+	release := make(chan struct{})
+	_, l := listen(t, &handler{serve: func(ctx context.Context, r *Request, w *Response) {
+		if r.URI == "/first" {
+			<-release
+			echo(ctx, r, w)
+			return
+		}
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		w.Start(http.StatusOK, http.Header{}, -1)
+		result <- w.WritePart(short, []byte("part"))
+		w.Finish(false)
+	}})
+	c, _ := dial(t, l)
+	_, _ = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case err := <-result:
+		if err == nil {
+			t.Error("a part counts as taken that waits behind another response")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the part is held although its request has ended")
+	}
+	close(release)
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -216,9 +216,9 @@
 // Guards against a truncated response that looks complete to the caller.
 func TestBrokenStreamIsCutOff(t *testing.T) {
 	for _, length := range []int64{-1, 100} {
-		_, l := listen(t, &handler{serve: func(_ context.Context, _ *Request, w *Response) {
+		_, l := listen(t, &handler{serve: func(ctx context.Context, _ *Request, w *Response) {
 			w.Start(http.StatusOK, http.Header{}, length)
-			_ = w.WritePart([]byte("part"))
+			_ = w.WritePart(ctx, []byte("part"))
 			w.Finish(false)
 		}})
 		for _, version := range []string{"1.0", "1.1"} {
@@ -245,10 +245,10 @@
 
 // Guards against resetting a connection whose end is the end of a complete response.
 func TestStreamToHTTP10EndsWithItsConnection(t *testing.T) {
-	_, l := listen(t, &handler{serve: func(_ context.Context, _ *Request, w *Response) {
+	_, l := listen(t, &handler{serve: func(ctx context.Context, _ *Request, w *Response) {
 		w.Start(http.StatusOK, http.Header{}, -1)
 		for range 64 {
-			_ = w.WritePart(make([]byte, 32<<10))
+			_ = w.WritePart(ctx, make([]byte, 32<<10))
 		}
 		w.Finish(true)
 	}})
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -137,19 +138,25 @@
 // -1 if unknown.
 func (w *Response) Start(status int, h http.Header, length int64) {
 	w.status, w.header, w.length = status, h, length
-	w.stream = make(chan []byte, 1)
+	w.stream = make(chan []byte)
 	close(w.started)
 }
 
-// WritePart writes a part of the body. It returns an error if the caller has
-// disconnected.
-func (w *Response) WritePart(p []byte) error {
+// WritePart writes a part of the body when all before it is written. It returns an error if the
+// caller has disconnected or does not take the part before the context ends.
+func (w *Response) WritePart(ctx context.Context, p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
 	select {
 	case w.stream <- append([]byte(nil), p...):
 		return nil
 	case <-w.writerDone:
-		return errors.New("caller has disconnected")
+	case <-w.conn.ctx.Done():
+	case <-ctx.Done():
+		return fmt.Errorf("caller does not take the response: %w", ctx.Err())
 	}
+	return errors.New("caller has disconnected")
 }
 
 // Finish ends a response that was begun with Start. If it is incomplete, the
