memory, ingress: what is held for callers is bounded by the machine's memory

What callers saw: clients that send many bodies or heads of legal size, and keep their end back, end the process: it runs out of memory.

Cause: only a single request had limits. Nothing added up over connections; a body was allocated whole at its announced length or by doubling; a head cost by its lines up to ten times its bytes; a connection held 16 requests, each until its response was written; and requests that were complete and waited had no bound either.

Now an account (package memory) bounds what the process holds for callers: 3/4 of what its machine has beyond the process's own part. It counts connections, heads as they arrive and by their lines, bodies by segments that are allocated as bytes arrive, and requests until their handler returns, with the copies that an attempt makes. When it is short, the holder gives way that holds most and moves least, in bytes times seconds without progress: a body that stalls before a small request, and a request that is being read before one that has been read. It gets 503 instance_full, not_run, with Retry-After; a quarter is kept for small requests. A body that can never fit is refused by its announced length. What the kernel receives ahead of the process is bounded by the connections' receive buffer. The setting memory-mb tells the machine's memory (by default that of the system), also to the collector as its soft limit.

Why it works: each byte is reserved before it is held, and given back on each way out: ingress.TestMemoryIsReleasedHoweverAConnectionEnds (17 endings), FuzzReadRequest. TestStalledUploadsGiveWay: the stalled one is refused, the next one served.

--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/httphead"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
@@ -81,14 +83,15 @@
 	return o.Reply.Head(status, h, length)
 }
 
-func sendBody(stream peerpb.DRPCCoordination_SendClient, body []byte) error {
-	for len(body) > bodyFrameBytes {
-		if err := stream.Send(&peerpb.SendFrame{Body: body[:bodyFrameBytes]}); err != nil {
-			return err
+func sendBody(stream peerpb.DRPCCoordination_SendClient, body memory.Buffer) error {
+	for _, segment := range body.Segments() {
+		for part := range slices.Chunk(segment, bodyFrameBytes) {
+			if err := stream.Send(&peerpb.SendFrame{Body: part}); err != nil {
+				return err
+			}
 		}
-		body = body[bodyFrameBytes:]
 	}
-	return stream.Send(&peerpb.SendFrame{Body: body, End: true})
+	return stream.Send(&peerpb.SendFrame{End: true})
 }
 
 func receiveReply(ctx context.Context, stream peerpb.DRPCCoordination_SendClient, reply sender.Reply) (dispatch.Outcome, error) {
@@ -144,7 +147,7 @@
 func requestHead(j *sender.Job) *peerpb.SendHead {
 	return &peerpb.SendHead{
 		Server: j.Server, Address: j.Address, Method: j.Method, Uri: j.URI, Host: j.Host, Headers: headersToProto(j.Header),
-		Length: int64(len(j.Body)), LeftMs: uint32(max(0, time.Until(j.Deadline)).Milliseconds()),
+		Length: j.Body.Len(), LeftMs: uint32(max(0, time.Until(j.Deadline)).Milliseconds()),
 		Repeatable: j.Repeatable, RequestId: j.RequestID, Team: j.Team, Incarnation: j.Incarnation,
 	}
 }
@@ -206,20 +209,20 @@
 	return stream.Send(&peerpb.ReplyFrame{End: true})
 }
 
-func receiveBody(stream peerpb.DRPCCoordination_SendStream, length int64) ([]byte, error) {
-	body := make([]byte, 0, min(length, bodyFrameBytes))
+func receiveBody(stream peerpb.DRPCCoordination_SendStream, length int64) (memory.Buffer, error) {
+	var body memory.Buffer
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			return nil, err
+			return memory.Buffer{}, err
 		}
-		body = append(body, frame.Body...)
-		if int64(len(body)) > length {
-			return nil, errors.New("request body is longer than announced in the head")
+		body.Append(frame.Body)
+		if body.Len() > length {
+			return memory.Buffer{}, errors.New("request body is longer than announced in the head")
 		}
 		if frame.End {
-			if int64(len(body)) != length {
-				return nil, errors.New("request body is shorter than announced in the head")
+			if body.Len() != length {
+				return memory.Buffer{}, errors.New("request body is shorter than announced in the head")
 			}
 			return body, nil
 		}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/errkind"
 	"trefoilstream.example/trefoilstream/internal/fleet"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
@@ -25,6 +26,11 @@
 // long. It returns true if the request has ended.
 func (r *request) attempt(ctx context.Context, p *fleet.Permit) bool {
 	r.streamer.Store(nil)
+	if err := r.hold(); err != nil {
+		r.h.fleet.Release(p, dispatch.Cancelled, 0, 0)
+		r.endWithoutPermit(ctx, err)
+		return true
+	}
 	s := r.start(ctx, p)
 	if r.mayRepeat(p) {
 		s = r.repeatIfStalled(ctx, s)
@@ -52,6 +58,21 @@
 	return r.endUnlessRetryable(s.outcome)
 }
 
+// sendBytes is the memory that an attempt takes beside the copies of the head: goroutines,
+// buffers, and the parts of a response that is streamed.
+const sendBytes = 96 << 10
+
+// headCopies is how often the head of a request is copied for an attempt.
+const headCopies = 2
+
+// hold reserves the memory of an attempt.
+func (r *request) hold() error {
+	if err := r.w.Hold(sendBytes + headCopies*r.in.HeadBytes); err != nil {
+		return &fleet.Refused{Kind: errkind.InstanceFull, RetryAfter: errkind.Lookup(errkind.InstanceFull).RetryAfter, Reason: err.Error()}
+	}
+	return nil
+}
+
 // start sends the request with a permit.
 func (r *request) start(ctx context.Context, p *fleet.Permit) *send {
 	r.admitted = true
@@ -83,7 +104,7 @@
 // release reports how an attempt ended.
 func (r *request) release(s *send, o dispatch.Outcome) {
 	s.giveUp()
-	r.h.fleet.Release(s.permit, o, time.Since(s.start), int64(len(r.in.Body))+s.reply.received)
+	r.h.fleet.Release(s.permit, o, time.Since(s.start), r.in.Body.Len()+s.reply.received)
 }
 
 // count counts an attempt that ended without a response to pass on. It reports whether the
@@ -123,6 +144,10 @@
 	if permit == nil {
 		return first
 	}
+	if r.hold() != nil {
+		r.h.fleet.Release(permit, dispatch.Cancelled, 0, 0)
+		return first
+	}
 	second := r.start(ctx, permit)
 	select {
 	case <-first.ended:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -386,6 +386,8 @@
 		_, _ = io.WriteString(h, s)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(in.Body)
+	for _, p := range in.Body.Segments() {
+		_, _ = h.Write(p)
+	}
 	return h.Sum64()
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 // conn is one connection of a caller. One goroutine reads requests, another
@@ -25,6 +27,9 @@
 	// each in turn.
 	responses chan *Response
 
+	// idle, reading and serving hold the memory of the connection itself, of the request that
+	// is being read and of the requests at the handler.
+	idle, reading, serving *memory.Holder
 	// lastRead is when bytes of a request arrived last, in Unix nanoseconds.
 	lastRead atomic.Int64
 
@@ -40,6 +45,8 @@
 	isReading bool
 	// evicted is set if the request that is being read has to give way.
 	evicted bool
+	// urgent is set if the descriptor of the connection is needed.
+	urgent bool
 
 	// leaving is set if the server has closed the connection to make room. It is guarded by the
 	// server's mutex.
@@ -49,6 +56,9 @@
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4096
 
+// connBytes is the memory that a connection takes: its buffers and goroutines.
+const connBytes = 24 << 10
+
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &limitedReader{r: raw, left: unlimited}
@@ -57,17 +67,26 @@
 		responses: make(chan *Response, maxPipelined), idleSince: time.Now(),
 	}
 	l.arrived = &c.lastRead
+	c.idle, c.reading = s.Memory.NewHolder(c.closeIfIdle), s.Memory.NewHolder(func() bool { return c.evictRequest(false) })
+	c.serving = s.Memory.NewHolder(nil)
 	return c
 }
 
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	if err := c.idle.Reserve(connBytes); err != nil {
+		c.cancel()
+		c.close()
+		return
+	}
+	defer c.idle.ReleaseAll()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
 		c.write()
 	}()
 	c.read()
+	c.reading.ReleaseAll()
 	close(c.responses)
 	<-written
 	c.cancel()
@@ -90,6 +109,9 @@
 		return false
 	}
 	c.pending++
+	if c.pending == 1 {
+		c.idle.SetEvictable(false)
+	}
 	c.server.active.Add(1)
 	return true
 }
@@ -110,6 +132,10 @@
 	c.served++
 	c.server.active.Add(-1)
 	c.idleSince = time.Now()
+	if c.pending == 0 {
+		c.idle.Moved(c.idleSince)
+		c.idle.SetEvictable(true)
+	}
 }
 
 // read reads requests until the caller disconnects or the last request of the
@@ -133,6 +159,7 @@
 		}
 		w := newResponse(c, r)
 		if reqErr != nil {
+			c.reading.ReleaseAll()
 			w.last = true
 			w.refuse(reqErr)
 			close(w.done)
@@ -142,9 +169,13 @@
 		}
 		last := r.closeAfter || c.server.draining.Load()
 		w.last = last
+		r.held = c.reading.MoveTo(c.serving)
 		go func() {
 			defer close(w.done)
 			c.server.handler.Serve(c.ctx, r, w)
+			// The response may wait behind others for long.
+			r.Header, r.Body = nil, memory.Buffer{}
+			c.serving.Release(r.held + w.held.Load())
 		}()
 		c.responses <- w
 		if last {
@@ -199,9 +230,15 @@
 // caller reads it.
 const lingerTimeout = 500 * time.Millisecond
 
+func (c *conn) isUrgent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.urgent
+}
+
 // lingerAfterError discards the rest of a refused request, up to 1 MiB of it.
 func (c *conn) lingerAfterError() {
-	if c.isEvicted() {
+	if c.isUrgent() {
 		return
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,21 +12,24 @@
 	"testing"
 	"time"
 
+	"trefoilstream.example/trefoilstream/internal/catalog"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
-// listenBounded starts a server with a limit of connections.
-func listenBounded(t *testing.T, h *handler, connections int) net.Listener {
+// listenBounded starts a server with an account of total bytes.
+func listenBounded(t *testing.T, h *handler, total int64, connections int) (*Server, net.Listener) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := NewServer(h)
+	s.Memory = memory.NewAccount(memory.Limits{Total: total, Large: total / 4 * 3}, nil)
 	s.MaxConnections = connections
 	go s.Serve(l)
 	t.Cleanup(func() { _ = l.Close() })
-	return l
+	return s, l
 }
 
 func eventually(t *testing.T, what string, f func() bool) {
@@ -37,6 +41,11 @@
 	}
 }
 
+// upload returns a request with a body of n bytes, of which some are missing at its end.
+func upload(n, missing int) string {
+	return fmt.Sprintf("POST /u HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n-missing))
+}
+
 // wantRefusal checks that the response is a refusal that says why, that the request has not
 // run, when to come back, and that the connection closes.
 func wantRefusal(t *testing.T, resp *http.Response, body string, kind errkind.Kind) {
@@ -47,16 +56,113 @@
 	}
 }
 
+// Guards against memory that stays counted although its connection has gone, which would end
+// in refusing everybody.
+func TestMemoryIsReleasedHoweverAConnectionEnds(t *testing.T) {
+	limits := catalog.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 200 * time.Millisecond}
+	stream := func(ctx context.Context, _ *Request, w *Response) {
+		w.Start(http.StatusOK, http.Header{}, -1)
+		for range 200 {
+			if w.WritePart(ctx, make([]byte, 32<<10)) != nil {
+				w.Finish(false)
+				return
+			}
+		}
+		w.Finish(true)
+	}
+	hold := func(ctx context.Context, r *Request, w *Response) {
+		_ = w.Hold(1 << 10)
+		echo(ctx, r, w)
+	}
+	wait := func(ctx context.Context, _ *Request, w *Response) {
+		_ = w.Hold(1 << 10)
+		<-ctx.Done()
+	}
+	get := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, c := range map[string]struct {
+		serve func(context.Context, *Request, *Response)
+		send  string
+		reads bool
+	}{
+		"answered":                      {hold, upload(100_000, 0) + get, true},
+		"leaves without a request":      {hold, "", false},
+		"leaves in the head":            {hold, "GET / HTTP/1.1\r\nHo", false},
+		"leaves in the body":            {hold, upload(100_000, 1), false},
+		"leaves in a chunk":             {hold, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\nab", false},
+		"head in time-out":              {hold, "GET / HTTP/1.1\r\nHo", true},
+		"idle in time-out":              {hold, get, true},
+		"bad request":                   {hold, "nonsense\r\n\r\n", true},
+		"head too large":                {hold, "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:b\r\n", 10_000), true},
+		"body too large":                {hold, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n", true},
+		"chunks too large":              {hold, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1fffff\r\n" + strings.Repeat("x", 0x1fffff), true},
+		"last request":                  {hold, "GET / HTTP/1.0\r\n\r\n" + get, true},
+		"leaves while it is served":     {wait, upload(100_000, 0) + get + get, false},
+		"leaves without reading":        {hold, strings.Repeat(upload(100_000, 0), 16), false},
+		"leaves in a stream":            {stream, get, false},
+		"leaves with streams behind it": {stream, strings.Repeat(get, 16), false},
+		"reads streams":                 {stream, get + get, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, l := listenBounded(t, &handler{serve: c.serve, limits: limits}, 16<<20, 0)
+			for range 3 {
+				conn, r := dial(t, l)
+				_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+				_, _ = io.WriteString(conn, c.send)
+				if c.reads {
+					_, _ = io.Copy(io.Discard, r)
+				} else {
+					time.Sleep(50 * time.Millisecond)
+				}
+				_ = conn.Close()
+			}
+			eventually(t, "all memory is released", func() bool { return s.Memory.Used() == 0 && s.Active() == 0 })
+		})
+	}
+}
+
+// Guards against refusing the caller that comes next, while others hold memory and send no
+// more.
+func TestStalledUploadsGiveWay(t *testing.T) {
+	s, l := listenBounded(t, &handler{serve: echo, limits: catalog.Limits{BodyBytes: 1 << 20}}, 5<<20, 0)
+	stalled, r := dial(t, l)
+	_, _ = io.WriteString(stalled, upload(1<<20, 1))
+	for range 2 {
+		c, _ := dial(t, l)
+		_, _ = io.WriteString(c, upload(1<<20, 1))
+	}
+	eventually(t, "the stalled uploads are read", func() bool { return s.Memory.Used() > 3<<20 })
+	time.Sleep(50 * time.Millisecond)
+	c, answers := dial(t, l)
+	_, _ = io.WriteString(c, upload(1<<20, 0))
+	if resp, body := readResponse(t, answers); resp.StatusCode != http.StatusOK || len(body) != len("/u")+1<<20 {
+		t.Errorf("status %d, body %.200q; want that of the upload", resp.StatusCode, body)
+	}
+	if s.Memory.Used() > s.Memory.Limits().Total {
+		t.Errorf("%d bytes are held of %d", s.Memory.Used(), s.Memory.Limits().Total)
+	}
+	resp, body := readResponse(t, r)
+	wantRefusal(t, resp, body, errkind.InstanceFull)
+}
+
+// Guards against holding a request back, or accepting its body, that can never be served.
+func TestBodyAboveTheMemoryIsRefusedAtOnce(t *testing.T) {
+	_, l := listenBounded(t, &handler{serve: echo, limits: catalog.Limits{BodyBytes: 64 << 20}}, 4<<20, 0)
+	c, r := dial(t, l)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 33554432\r\n\r\n")
+	resp, body := readResponse(t, r)
+	wantRefusal(t, resp, body, errkind.InstanceFull)
+}
+
 // Guards against a new connection that waits while others are idle, and against closing one
 // whose request has been read.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	release := make(chan struct{})
-	l := listenBounded(t, &handler{serve: func(ctx context.Context, r *Request, w *Response) {
+	_, l := listenBounded(t, &handler{serve: func(ctx context.Context, r *Request, w *Response) {
 		if r.URI == "/slow" {
 			<-release
 		}
 		echo(ctx, r, w)
-	}}, 4)
+	}}, 16<<20, 4)
 	busy, busyAnswers := dial(t, l)
 	_, _ = io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
 	kept, keptAnswers := dial(t, l)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 // handler serves requests with a function and limits that the test sets.
@@ -27,7 +28,8 @@
 func (h *handler) Limits() catalog.Limits                             { return h.limits }
 
 func echo(_ context.Context, r *Request, w *Response) {
-	w.Respond(http.StatusOK, http.Header{}, []byte(r.URI+string(r.Body)))
+	body, _ := io.ReadAll(r.Body.Reader())
+	w.Respond(http.StatusOK, http.Header{}, []byte(r.URI+string(body)))
 }
 
 func listen(t *testing.T, h *handler) (*Server, net.Listener) {
@@ -277,13 +279,14 @@
 }
 
 // FuzzReadRequest guards against input that crashes the reader, runs a request
-// with another length than was read, or leaves a request counted as active.
+// with another length than was read, or leaves a request or its memory counted.
 func FuzzReadRequest(f *testing.F) {
 	f.Add("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n")
 	f.Fuzz(func(t *testing.T, input string) {
 		server := NewServer(&handler{serve: echo, limits: catalog.Limits{HeaderBytes: 2048, BodyBytes: 1024}})
+		server.Memory = memory.NewAccount(memory.Limits{Total: 4 << 20, Large: 3 << 20}, nil)
 		left, right := net.Pipe()
 		done := make(chan struct{})
 		go func() {
@@ -298,5 +301,8 @@
 		if server.Active() != 0 {
 			t.Errorf("%d requests are still counted", server.Active())
 		}
+		if server.Memory.Used() != 0 {
+			t.Errorf("%d bytes are still counted", server.Memory.Used())
+		}
 	})
 }
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 // Request is a caller's request, read completely.
@@ -23,9 +25,13 @@
 	Host string
 	// Header holds the headers without the hop-by-hop ones.
 	Header http.Header
-	Body   []byte
+	Body   memory.Buffer
 	// Arrived is when the last byte was read.
-	Arrived    time.Time
+	Arrived time.Time
+	// HeadBytes estimates the memory that the head takes.
+	HeadBytes int64
+	// held is what the request holds of the memory for callers, in bytes.
+	held       int64
 	closeAfter bool
 	http10     bool
 }
@@ -51,10 +57,10 @@
 	}
 }
 
-func newRequest(in *http.Request, body []byte, now time.Time) *Request {
+func newRequest(in *http.Request, body memory.Buffer, now time.Time) *Request {
 	r := &Request{
 		Method: in.Method, URI: in.RequestURI, Path: rawPath(in.RequestURI), Host: in.Host, Header: in.Header, Body: body,
-		Arrived: now, closeAfter: in.Close, http10: !in.ProtoAtLeast(1, 1),
+		Arrived: now, HeadBytes: headBytes(in), closeAfter: in.Close, http10: !in.ProtoAtLeast(1, 1),
 	}
 	DropHopHeaders(r.Header)
 	return r
@@ -79,25 +85,35 @@
 	return nil
 }
 
-var errBodyTooLarge = errors.New("body is too large")
+const (
+	// requestBytes is the memory that a request takes beside its head and its body: the
+	// goroutine that handles it.
+	requestBytes = 16 << 10
+	// headLineBytes is the memory that a line of a head takes beside its text: an entry of a
+	// map, which grows by doubling, and a slice.
+	headLineBytes = 128
+)
 
-func readBody(in *http.Request, limit int64) ([]byte, error) {
+// headBytes returns the memory that a head takes, in bytes.
+func headBytes(in *http.Request) int64 {
+	n := len(in.RequestURI) + len(in.Host)
+	for name, values := range in.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headLineBytes
+		}
+	}
+	return int64(n)
+}
+
+// readBody reads the body of a request, if there is one, into memory of a holder.
+func readBody(in *http.Request, limit int64, h *memory.Holder) (memory.Buffer, error) {
 	if in.ContentLength > limit {
-		return nil, errBodyTooLarge
+		return memory.Buffer{}, memory.ErrTooLarge
 	}
 	if in.Body == nil || in.ContentLength == 0 {
-		return nil, nil
-	}
-	if in.ContentLength > 0 {
-		body := make([]byte, in.ContentLength)
-		_, err := io.ReadFull(in.Body, body)
-		return body, err
+		return memory.Buffer{}, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(in.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, err
+	return memory.ReadBuffer(in.Body, in.ContentLength, limit, h)
 }
 
 // Response is the response to one request. The handler fills it; the
@@ -121,6 +137,8 @@
 	done    chan struct{}
 	// writerDone is closed when the connection accepts no more parts.
 	writerDone chan struct{}
+	// held is what the handler holds of the memory for callers, in bytes.
+	held atomic.Int64
 }
 
 func newResponse(c *conn, r *Request) *Response {
@@ -129,6 +147,19 @@
 	}
 }
 
+// Hold reserves memory for the handler until it returns, n in bytes. The error is
+// memory.ErrShort.
+func (w *Response) Hold(n int64) error {
+	if w.conn == nil {
+		return nil
+	}
+	if err := w.conn.serving.Reserve(n); err != nil {
+		return err
+	}
+	w.held.Add(n)
+	return nil
+}
+
 // Respond sets a complete response.
 func (w *Response) Respond(status int, h http.Header, body []byte) {
 	w.status, w.header, w.body = status, h, body
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +14,7 @@
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 // limitedReader bounds the bytes of a request's head.
@@ -20,6 +23,8 @@
 	left int
 	// arrived is when bytes arrived last, in Unix nanoseconds.
 	arrived *atomic.Int64
+	// charge, if it is not nil, is called with the bytes that were read.
+	charge func(p []byte) error
 }
 
 var errHeadTooLarge = errors.New("head of the request is too large")
@@ -42,6 +47,11 @@
 	if l.left != unlimited {
 		l.left -= n
 	}
+	if l.charge != nil && n > 0 {
+		if chargeErr := l.charge(p[:n]); chargeErr != nil {
+			return n, chargeErr
+		}
+	}
 	return n, err
 }
 
@@ -51,7 +61,7 @@
 	start := time.Now()
 	c.setReadDeadline(start.Add(l.HeaderTimeout))
 	c.limit.left = max(0, l.HeaderBytes-c.reader.Buffered()) + readAheadBytes
-	in, err := http.ReadRequest(c.reader)
+	in, err := c.readHead()
 	if err != nil {
 		return nil, headError(err)
 	}
@@ -60,15 +70,24 @@
 	if err := checkFraming(in); err != nil {
 		return nil, err
 	}
-	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") && c.isOnlyPending() {
+	if total := c.server.Memory.Limits().Total; in.ContentLength > total && in.ContentLength <= l.BodyBytes {
+		return nil, instanceFull(fmt.Errorf("body of %d bytes exceeds the %d bytes for all callers", in.ContentLength, total))
+	}
+	if in.ContentLength <= l.BodyBytes && strings.EqualFold(in.Header.Get("Expect"), "100-continue") && c.isOnlyPending() {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, nil
 		}
 	}
-	body, err := readBody(in, l.BodyBytes)
-	if errors.Is(err, errBodyTooLarge) {
+	body, err := readBody(in, l.BodyBytes, c.reading)
+	if err == nil {
+		err = c.reading.Reserve(requestBytes)
+	}
+	if errors.Is(err, memory.ErrTooLarge) {
 		return nil, errkind.Errorf(errkind.BodyTooLarge, "%w", err)
 	}
+	if errors.Is(err, memory.ErrShort) {
+		return nil, instanceFull(err)
+	}
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, errkind.Errorf(errkind.RequestTimeout, "%w", err)
@@ -82,6 +101,31 @@
 	return newRequest(in, body, time.Now()), nil
 }
 
+// readHead reads the head of a request. What it takes is reserved as it arrives, and corrected
+// once it is known which of the bytes belong to the head.
+func (c *conn) readHead() (*http.Request, error) {
+	charged := int64(0)
+	c.limit.charge = func(p []byte) error {
+		n := int64(len(p) + headLineBytes*bytes.Count(p, []byte("\n")))
+		if err := c.reading.Reserve(n); err != nil {
+			return err
+		}
+		charged += n
+		return nil
+	}
+	in, err := http.ReadRequest(c.reader)
+	c.limit.charge = nil
+	if err != nil {
+		return nil, err
+	}
+	n := headBytes(in)
+	if n < charged {
+		c.reading.Release(charged - n)
+		return in, nil
+	}
+	return in, c.reading.Reserve(n - charged)
+}
+
 const (
 	// readAheadBytes is added to the header limit, since the buffered reader
 	// reads ahead.
@@ -97,6 +141,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return errkind.Errorf(errkind.HeadTooLarge, "%w", err)
+	case errors.Is(err, memory.ErrShort):
+		return instanceFull(err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Errorf(errkind.RequestTimeout, "%w", err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -25,7 +25,7 @@
 			least, longest = c, waited
 		}
 	}
-	if least == nil || !least.closeIfIdle() && !least.evictRequest() {
+	if least == nil || !least.closeIfIdle() && !least.evictRequest(true) {
 		return false
 	}
 	least.leaving = true
@@ -48,14 +48,14 @@
 }
 
 // evictRequest makes the request that is being read end with a refusal, and reports whether
-// there is one. The connection must have no other request.
-func (c *conn) evictRequest() bool {
+// there is one. If the connection itself has to go, urgently, it must have no other request.
+func (c *conn) evictRequest(urgent bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isReading || c.pending > 1 {
+	if !c.isReading || urgent && c.pending > 1 {
 		return false
 	}
-	c.evicted = true
+	c.evicted, c.urgent = true, c.urgent || urgent
 	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 const (
@@ -40,6 +41,8 @@
 // Server accepts connections of callers.
 type Server struct {
 	handler Handler
+	// Memory bounds what all connections hold together, if it is set before Serve.
+	Memory *memory.Account
 	// MaxConnections bounds the open connections, if it is set before Serve; 0 does not.
 	MaxConnections int
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -64,6 +64,7 @@
 	// Settings come from flags and the environment and cannot be reloaded.
 	signal.Ignore(syscall.SIGHUP)
 
+	account := newAccount(memoryBytes(s))
 	f := fleet.New(fleet.Options{
 		Self:  fleet.Peer{Name: s.InstanceID, Address: s.PeerAddress, Domain: s.FailureDomain, Capacity: s.Cores()},
 		Seeds: s.SeedList(), FirstStart: s.FirstStart,
@@ -73,7 +74,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
-	callers, err := sockopt.ListenConfig().Listen(ctx, "tcp", s.ListenAddress)
+	callers, err := sockopt.CallerListenConfig().Listen(ctx, "tcp", s.ListenAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -85,7 +86,7 @@
 	recorder := metrics.New()
 	handler := forward.New(f, a.Dialect, observers{requests, metricsObserver{recorder}})
 	server := ingress.NewServer(handler)
-	server.MaxConnections = maxConnections(descriptors(s))
+	server.Memory, server.MaxConnections = account, maxConnections(descriptors(s))
 	go func() { _ = f.Serve(ctx, peers) }()
 	go f.Run(ctx)
 	go server.Serve(callers)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -2,7 +2,6 @@
 package sender
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"trefoilstream.example/trefoilstream/internal/backend"
 	"trefoilstream.example/trefoilstream/internal/dialect"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 // Job is one request for one backend server.
@@ -28,7 +28,7 @@
 	Header    http.Header
 	RequestID string
 	Team      string
-	Body      []byte
+	Body      memory.Buffer
 	Deadline  time.Time
 	// Repeatable requests may run more than once.
 	Repeatable bool
@@ -116,7 +116,7 @@
 	})
 	return &backend.Request{
 		Address: j.Address, Method: j.Method, URI: j.URI, Host: j.Host, Header: h,
-		Body: bytes.NewReader(j.Body), ContentLength: int64(len(j.Body)), Idempotent: true, UntilClose: true,
+		Body: j.Body.Reader(), ContentLength: j.Body.Len(), Idempotent: true, UntilClose: true,
 		// The first response on a reused connection may be a late one to an
 		// earlier request.
 		Match: func(h http.Header) backend.Match {
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -34,8 +34,9 @@
 	FirstStart bool
 	// Capacity is the CPU share of the instance, in cores.
 	Capacity string
-	// Descriptors is how many descriptors the process may have open. Empty, it asks the system.
-	Descriptors string
+	// Memory is that of the machine, in MB; Descriptors is how many descriptors the process may
+	// have open. Empty, the process asks the system.
+	Memory, Descriptors string
 }
 
 func (s *Instance) options() []option {
@@ -51,6 +52,7 @@
 		{"policy", "for trials: values of the dispatch policy that differ from the defaults, as JSON", &s.Policy},
 		{"first-start", "the whole fleet starts for the first time", &s.FirstStart},
 		{"capacity", "share of processors that the instance may use, in cores", &s.Capacity},
+		{"memory-mb", "memory of the machine that the instance may use, in MB; by default that of the system", &s.Memory},
 		{"file-descriptors", "descriptors that the instance may have open; by default the limit of the process", &s.Descriptors},
 		{"log-level", "debug, info, warn or error", &s.LogLevel},
 	}
@@ -100,8 +102,10 @@
 			addErr("capacity", "%q is not a positive number of cores", s.Capacity)
 		}
 	}
-	if v, err := strconv.ParseInt(s.Descriptors, 10, 32); s.Descriptors != "" && (err != nil || v <= 0) {
-		addErr("file-descriptors", "%q is not a positive number", s.Descriptors)
+	for _, n := range []struct{ flag, value string }{{"memory-mb", s.Memory}, {"file-descriptors", s.Descriptors}} {
+		if v, err := strconv.ParseInt(n.value, 10, 32); n.value != "" && (err != nil || v <= 0) {
+			addErr(n.flag, "%q is not a positive number", n.value)
+		}
 	}
 	for _, a := range s.SeedList() {
 		if _, _, err := net.SplitHostPort(a); err != nil {
@@ -119,6 +123,15 @@
 	return 1
 }
 
+// MemoryBytes returns the memory of the machine, or 0 if it is not set.
+func (s *Instance) MemoryBytes() int64 {
+	mb, err := strconv.ParseInt(s.Memory, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return mb * 1_000_000
+}
+
 // DescriptorCount returns how many descriptors may be open, or 0 if it is not set.
 func (s *Instance) DescriptorCount() int {
 	n, err := strconv.Atoi(s.Descriptors)
--- a/internal/settings/instance_test.go
+++ b/internal/settings/instance_test.go
@@ -8,7 +8,7 @@
 var goodInstance = map[string]string{
 	"instance-id": "i1", "failure-domain": "a", "listen": "10.0.0.1:1", "readiness-listen": "10.0.0.1:2",
 	"peer-listen": "10.0.0.1:3", "store": "10.0.0.9:4", "seeds": "10.0.0.1:3, 10.0.0.2:3", "capacity": "0.32",
-	"file-descriptors": "4100",
+	"memory-mb": "284", "file-descriptors": "4100",
 }
 
 func environment(values map[string]string) func(string) string {
@@ -32,19 +32,19 @@
 	if s.InstanceID != "i1" || s.FailureDomain != "b" || s.Cores() != 0.32 || len(s.SeedList()) != 2 || s.SeedList()[1] != "10.0.0.2:3" {
 		t.Errorf("%+v", s)
 	}
-	if s.DescriptorCount() != 4100 {
-		t.Errorf("%d descriptors", s.DescriptorCount())
+	if s.MemoryBytes() != 284_000_000 || s.DescriptorCount() != 4100 {
+		t.Errorf("%d bytes, %d descriptors", s.MemoryBytes(), s.DescriptorCount())
 	}
 }
 
 // Guards against invalid settings that are reported one at a time, or not at all.
 func TestEveryFaultOfAnInstanceIsNamed(t *testing.T) {
-	bad := map[string]string{"listen": "nowhere", "seeds": "10.0.0.1:3,x", "capacity": "much", "file-descriptors": "99999999999"}
+	bad := map[string]string{"listen": "nowhere", "seeds": "10.0.0.1:3,x", "capacity": "much", "memory-mb": "0", "file-descriptors": "99999999999"}
 	_, err := ParseInstance(nil, environment(bad))
 	if err == nil {
 		t.Fatal("invalid settings were accepted")
 	}
-	for _, flag := range []string{"instance-id", "failure-domain", "listen", "readiness-listen", "peer-listen", "store", "seeds", "capacity", "file-descriptors"} {
+	for _, flag := range []string{"instance-id", "failure-domain", "listen", "readiness-listen", "peer-listen", "store", "seeds", "capacity", "memory-mb", "file-descriptors"} {
 		if !strings.Contains(err.Error(), "--"+flag+" (TREFOILSTREAM_") {
 			t.Errorf("the error of --%s is missing in %q", flag, err)
 		}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -4,6 +4,7 @@
 package sockopt
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -37,6 +38,23 @@
 	return &net.ListenConfig{KeepAliveConfig: KeepAlive, Control: setUserTimeout}
 }
 
+// callerBufferBytes bounds what the kernel receives from a caller before it is read. It counts
+// toward the machine's memory and not toward that of the process.
+const callerBufferBytes = 64 << 10
+
+// CallerListenConfig is ListenConfig with a bounded receive buffer.
+func CallerListenConfig() *net.ListenConfig {
+	c := ListenConfig()
+	c.Control = func(network, address string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerBufferBytes)
+		})
+		return errors.Join(err, sockErr, setUserTimeout(network, address, raw))
+	}
+	return c
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
