ingress, forward: responses that wait for callers are bounded too

What callers saw: clients that pipeline downloads and do not read them, or leave before they do, fill the instance's memory with up to 1 MiB a response.

Cause: each response is buffered until it is complete, so that it can be fetched again if it is cut off, and then until all before it on its connection are written. Nothing added up over connections.

Now a buffered response is reserved from the account as it grows. If nothing is left, it is passed on as it arrives instead: the server is read no faster than the caller reads, and the request, which has run, keeps its response. A caller that has not taken a write for a second counts as one that does not move: when memory is short, its connection is reset.

Why it works: forward.TestResponseIsStreamedIfNoMemoryIsLeft (complete, with its length, with too little memory to buffer it), ingress.TestStalledReadersGiveWay, TestMemoryIsReleasedHoweverAConnectionEnds.

--- a/internal/forward/collector.go
+++ b/internal/forward/collector.go
@@ -16,8 +16,8 @@
 // partBytes is the size of the parts in which a buffered body is passed on.
 const partBytes = 32 << 10
 
-// collector buffers a response. It streams a response that exceeds
-// maxBufferedBytes to the caller.
+// collector buffers a response. It streams a response to the caller that exceeds
+// maxBufferedBytes, or for which no memory is left.
 type collector struct {
 	// ctx ends with the attempt.
 	ctx    context.Context
@@ -26,6 +26,8 @@
 	header http.Header
 	length int64
 	body   []byte
+	// held is the memory that was reserved for body, in bytes.
+	held int64
 	// received counts the bytes of the body that have arrived.
 	received  int64
 	streaming bool
@@ -43,9 +45,6 @@
 func (c *collector) Head(status int, h http.Header, length int64) error {
 	ingress.DropHopHeaders(h)
 	c.status, c.header, c.length = status, h, length
-	if length > 0 && length <= maxBufferedBytes {
-		c.body = make([]byte, 0, length)
-	}
 	return nil
 }
 
@@ -55,7 +54,7 @@
 	if c.streaming {
 		return c.w.WritePart(c.ctx, p)
 	}
-	if len(c.body)+len(p) <= maxBufferedBytes {
+	if c.grow(len(c.body) + len(p)) {
 		c.body = append(c.body, p...)
 		return nil
 	}
@@ -70,5 +69,27 @@
 		}
 	}
 	c.body = nil
+	c.w.ReleaseBody(c.held)
+	c.held = 0
 	return c.w.WritePart(c.ctx, p)
 }
+
+// grow makes room for a body of n bytes, and reports whether there is any.
+func (c *collector) grow(n int) bool {
+	if n <= cap(c.body) {
+		return true
+	}
+	if n > maxBufferedBytes {
+		return false
+	}
+	size := min(max(n, 2*cap(c.body)), maxBufferedBytes)
+	if c.length >= int64(n) && c.length <= maxBufferedBytes {
+		size = int(c.length)
+	}
+	if !c.w.HoldBody(int64(size) - c.held) {
+		return false
+	}
+	c.held = int64(size)
+	c.body = append(make([]byte, 0, size), c.body...)
+	return true
+}
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -63,3 +63,15 @@
 		t.Errorf("%d sent, permits released as %v; want none, one as cancelled", len(f.sent), f.released)
 	}
 }
+
+// Guards against losing the response of a request that has run, since no memory is left to
+// buffer it.
+func TestResponseIsStreamedIfNoMemoryIsLeft(t *testing.T) {
+	want := strings.Repeat("x", 200<<10)
+	for _, total := range []int64{250 << 10, 16 << 20} {
+		f := &fakeFleet{steps: []step{{outcome: dispatch.Served, status: 200, body: want}}}
+		if resp, body := requestThrough(t, f, total); resp.StatusCode != http.StatusOK || body != want || resp.ContentLength != int64(len(want)) {
+			t.Errorf("%d bytes of memory: status %d, length %d, %d bytes", total, resp.StatusCode, resp.ContentLength, len(body))
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -27,11 +27,13 @@
 	// each in turn.
 	responses chan *Response
 
-	// idle, reading and serving hold the memory of the connection itself, of the request that
-	// is being read and of the requests at the handler.
-	idle, reading, serving *memory.Holder
+	// idle, reading, serving and output hold the memory of the connection itself, of the
+	// request that is being read, of the requests at the handler and of the responses.
+	idle, reading, serving, output *memory.Holder
 	// lastRead is when bytes of a request arrived last, in Unix nanoseconds.
 	lastRead atomic.Int64
+	// writeStart is when a write to the caller began, in Unix nanoseconds; 0 if none is under way.
+	writeStart atomic.Int64
 
 	mu sync.Mutex
 	// pending counts the requests that are being read or await a response.
@@ -68,7 +70,7 @@
 	}
 	l.arrived = &c.lastRead
 	c.idle, c.reading = s.Memory.NewHolder(c.closeIfIdle), s.Memory.NewHolder(func() bool { return c.evictRequest(false) })
-	c.serving = s.Memory.NewHolder(nil)
+	c.serving, c.output = s.Memory.NewHolder(nil), s.Memory.NewHolder(c.closeIfStalled)
 	return c
 }
 
@@ -248,11 +250,13 @@
 
 // write writes the responses in order.
 func (c *conn) write() {
-	w := bufio.NewWriterSize(callerWriter{c.raw}, readBufferBytes)
+	w := bufio.NewWriterSize(callerWriter{c}, readBufferBytes)
 	for r := range c.responses {
 		ok := r.writeTo(w)
 		last := r.last
 		if ok {
+			// After a failure the handler may still fill the response.
+			r.release()
 			c.endRequest()
 		}
 		if !ok || last {
@@ -271,6 +275,7 @@
 // giveUp ends a request whose response is not written.
 func (c *conn) giveUp(r *Response) {
 	<-r.done
+	r.release()
 	c.endRequest()
 }
 
@@ -281,16 +286,20 @@
 )
 
 // callerWriter writes to the caller in pieces, each of which must be taken in time.
-type callerWriter struct{ raw net.Conn }
+type callerWriter struct{ c *conn }
 
 // Write implements io.Writer.
 func (w callerWriter) Write(p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
-		_ = w.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+		now := time.Now()
+		w.c.writeStart.Store(now.UnixNano())
+		_ = w.c.raw.SetWriteDeadline(now.Add(writeTimeout))
 		var m int
-		m, err = w.raw.Write(p[n:min(len(p), n+writePieceBytes)])
+		m, err = w.c.raw.Write(p[n:min(len(p), n+writePieceBytes)])
 		n += m
+		w.c.output.Moved(now)
 	}
+	w.c.writeStart.Store(0)
 	return n, err
 }
 
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -61,6 +61,7 @@
 func TestMemoryIsReleasedHoweverAConnectionEnds(t *testing.T) {
 	limits := catalog.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 200 * time.Millisecond}
 	stream := func(ctx context.Context, _ *Request, w *Response) {
+		w.HoldBody(1 << 10)
 		w.Start(http.StatusOK, http.Header{}, -1)
 		for range 200 {
 			if w.WritePart(ctx, make([]byte, 32<<10)) != nil {
@@ -72,6 +73,7 @@
 	}
 	hold := func(ctx context.Context, r *Request, w *Response) {
 		_ = w.Hold(1 << 10)
+		w.HoldBody(1 << 10)
 		echo(ctx, r, w)
 	}
 	wait := func(ctx context.Context, _ *Request, w *Response) {
@@ -153,6 +155,35 @@
 	wantRefusal(t, resp, body, errkind.InstanceFull)
 }
 
+// Guards against callers that do not read their responses and keep the memory.
+func TestStalledReadersGiveWay(t *testing.T) {
+	large := func(ctx context.Context, r *Request, w *Response) {
+		if r.URI == "/u" {
+			echo(ctx, r, w)
+			return
+		}
+		if !w.HoldBody(256 << 10) {
+			w.Refuse(errkind.Errorf(errkind.Internal, "no memory"))
+			return
+		}
+		w.Respond(http.StatusOK, http.Header{}, make([]byte, 256<<10))
+	}
+	s, l := listenBounded(t, &handler{serve: large, limits: catalog.Limits{BodyBytes: 4 << 20}}, 4<<20, 0)
+	c, _ := dial(t, l)
+	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	for range 40 {
+		// What the kernel buffers is not held by the server.
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	eventually(t, "the responses wait", func() bool { return s.Memory.Used() > 2<<20 })
+	time.Sleep(stalledAfter + 100*time.Millisecond)
+	other, answers := dial(t, l)
+	_, _ = io.WriteString(other, upload(2<<20, 0))
+	if resp, body := readResponse(t, answers); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, body %.200q beside a caller that does not read", resp.StatusCode, body)
+	}
+}
+
 // Guards against a new connection that waits while others are idle, and against closing one
 // whose request has been read.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -137,8 +137,9 @@
 	done    chan struct{}
 	// writerDone is closed when the connection accepts no more parts.
 	writerDone chan struct{}
-	// held is what the handler holds of the memory for callers, in bytes.
-	held atomic.Int64
+	// held and bodyHeld are what the handler and the body hold of the memory for callers, in
+	// bytes.
+	held, bodyHeld atomic.Int64
 }
 
 func newResponse(c *conn, r *Request) *Response {
@@ -160,6 +161,33 @@
 	return nil
 }
 
+// HoldBody reserves memory for a body that is buffered, n in bytes, and reports whether it is
+// left. It is released when the response is written, or by ReleaseBody.
+func (w *Response) HoldBody(n int64) bool {
+	if w.conn == nil {
+		return true
+	}
+	if !w.conn.output.TryReserve(n, time.Now()) {
+		return false
+	}
+	w.bodyHeld.Add(n)
+	return true
+}
+
+// ReleaseBody releases memory that HoldBody has reserved.
+func (w *Response) ReleaseBody(n int64) {
+	if w.conn != nil {
+		w.bodyHeld.Add(-n)
+		w.conn.output.Release(n)
+	}
+}
+
+// release releases the body's memory once the response is written or given up.
+func (w *Response) release() {
+	w.header, w.body = nil, nil
+	w.ReleaseBody(w.bodyHeld.Load())
+}
+
 // Respond sets a complete response.
 func (w *Response) Respond(status int, h http.Header, body []byte) {
 	w.status, w.header, w.body = status, h, body
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -60,6 +60,22 @@
 	return true
 }
 
+// stalledAfter is after which time a write counts as one that the caller does not take.
+const stalledAfter = time.Second
+
+// closeIfStalled closes the connection if the caller does not take its responses, and reports
+// whether it did.
+func (c *conn) closeIfStalled() bool {
+	start := c.writeStart.Load()
+	if start == 0 || time.Since(time.Unix(0, start)) < stalledAfter {
+		return false
+	}
+	c.cancel()
+	c.setResetOnClose(true)
+	c.close()
+	return true
+}
+
 // unusedWeight times its idle time is how long a connection counts as idle on which no request
 // has ended: callers that keep their connections for further requests come first.
 const unusedWeight = 8
