fleet: requests that are sent for other instances count toward the memory for callers

What callers saw: instances that are within their limits for their own callers run out of memory by the requests that others pass on to them, up to 128 MiB each, and whoever is there is cut off.

Cause: the instance that sends a request for another one holds its body and copies of its head, and had only a limit for a single one.

Now it reserves the whole request before it accepts it: the other instance has all of it and sends it at once. What it does not accept has not run, and goes through another instance.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"trefoilstream.example/trefoilstream/internal/catalog"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/election"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 	"trefoilstream.example/trefoilstream/internal/sockopt"
@@ -125,6 +126,8 @@
 	Source     Source
 	Store      StoreCaller
 	Sender     *sender.Sender
+	// Memory bounds what is held for callers, also for those of other instances; nil does not.
+	Memory *memory.Account
 }
 
 // Fleet is this instance's side of the coordination protocol, both as a member
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -190,6 +190,12 @@
 	if h == nil || h.Length < 0 || h.Length > maxRequestBytes {
 		return errors.New("first frame of a request has no head or an invalid body length")
 	}
+	held, err := s.holdRelayed(h)
+	if err != nil {
+		// The request has not been accepted and goes elsewhere.
+		return fmt.Errorf("request of another instance: %w", err)
+	}
+	defer held.ReleaseAll()
 	deadline := time.Now().Add(time.Duration(h.LeftMs) * time.Millisecond)
 	if err := stream.Send(&peerpb.ReplyFrame{Accepted: true}); err != nil {
 		return err
@@ -209,6 +215,27 @@
 	return stream.Send(&peerpb.ReplyFrame{End: true})
 }
 
+const (
+	// relayBytes is the memory that a request of another instance takes beside its body and
+	// the copies of its head: goroutines and buffers.
+	relayBytes = 96 << 10
+	// fieldBytes is the memory that a field of a head takes beside its text.
+	fieldBytes = 192
+	// headCopies is how often the head of a request is held while it is sent.
+	headCopies = 4
+)
+
+// holdRelayed reserves the memory of a request of another instance, with its whole body: the
+// other instance has read it and sends it at once.
+func (s *coordinationServer) holdRelayed(h *peerpb.SendHead) (*memory.Holder, error) {
+	n := relayBytes + h.Length
+	for _, f := range h.Headers {
+		n += headCopies * int64(len(f.Name)+len(f.Value)+fieldBytes)
+	}
+	held := s.fleet.opts.Memory.NewHolder(nil)
+	return held, held.Reserve(n)
+}
+
 func receiveBody(stream peerpb.DRPCCoordination_SendStream, length int64) (memory.Buffer, error) {
 	var body memory.Buffer
 	for {
--- a/internal/fleet/send_test.go
+++ b/internal/fleet/send_test.go
@@ -9,6 +9,7 @@
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
@@ -46,6 +47,27 @@
 	}
 }
 
+// Guards against an instance that exceeds its memory by requests of others (the instance that
+// accepts one holds its body). What it does not accept has not run and goes elsewhere.
+func TestInstanceWithoutMemoryAcceptsNoRequestsOfOthers(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	account := memory.NewAccount(memory.Limits{Total: 1 << 20, Large: 1 << 20}, nil)
+	fleet.addWith(1, func(o *Options) { o.Sender, o.Memory = sender.New(plainDialect{}), account })
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	entry, relay := fleet.instances[0], fleet.instances[1]
+	for bytes, want := range map[int]dispatch.Outcome{2 << 20: dispatch.Unsent, 1 << 18: dispatch.Unreachable} {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		got, err := entry.sendVia(ctx, relay.opts.Self.Address, &sender.Job{
+			Server: "s", Address: deadAddress, Method: "POST", URI: "/", Body: memory.NewBuffer(make([]byte, bytes)), Deadline: time.Now().Add(5 * time.Second),
+		}, nil)
+		if got != want || err == nil {
+			t.Errorf("a body of %d bytes: %s (%v), want %s", bytes, got, err, want)
+		}
+	}
+	eventually(t, "all memory is released", func() bool { return account.Used() == 0 })
+}
+
 // replyStream yields the frames of a reply and then ends, as a stream does whose instance has
 // stopped.
 type replyStream struct {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -68,7 +68,7 @@
 	f := fleet.New(fleet.Options{
 		Self:  fleet.Peer{Name: s.InstanceID, Address: s.PeerAddress, Domain: s.FailureDomain, Capacity: s.Cores()},
 		Seeds: s.SeedList(), FirstStart: s.FirstStart,
-		Bounds: a.Bounds, Policy: a.Policy, Source: a.Source, Store: a.Store, Sender: sender.New(a.Dialect),
+		Bounds: a.Bounds, Policy: a.Policy, Source: a.Source, Store: a.Store, Sender: sender.New(a.Dialect), Memory: account,
 	})
 	peers, err := fleet.Listen(ctx, s.PeerAddress)
 	if err != nil {
