entry: heads of the own interface are bounded together

What callers could see: the fault of the crowds on the users' platform, on the product's own interface. Clients that send heads of legal size in very many lines, and never end them, take the process over the memory of a small instance (256 MB).

Cause: net/http bounds a single head, at 64 KiB, and parses it as it arrives; nothing adds up over connections. Bodies were bounded already.

Now a connection reserves what a head takes from an account of 32 MB, by bytes and lines as on the platform, before the HTTP server parses it, and until its request has ended. When that is used up, the connection is closed whose head has not moved for longest for its size: its request has not run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -165,7 +164,7 @@
 		// In HTTP/1.0 closing the connection may mark the end of the body, so
 		// only a reset shows that the body is incomplete.
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = conn.Close()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 const (
@@ -33,6 +35,8 @@
 	http http.Server
 	// IdleGrace replaces DefaultIdleGrace if it is set before Drain.
 	IdleGrace time.Duration
+	// heads counts the memory of the heads of requests.
+	heads *memory.Account
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -47,9 +51,12 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(h http.Handler) *Server {
-	s := &Server{conns: make(map[net.Conn]connState), IdleGrace: DefaultIdleGrace}
+	s := &Server{
+		conns: make(map[net.Conn]connState), IdleGrace: DefaultIdleGrace,
+		heads: memory.NewAccount(memory.Limits{Total: headMemoryBytes, Large: headMemoryBytes / 4 * 3}, nil),
+	}
 	s.http = http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: endHead(h), ConnContext: withHeadConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: serverHeaderBytes, ConnState: s.track,
 	}
 	return s
@@ -60,7 +67,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	err := s.http.Serve(l)
+	err := s.http.Serve(headListener{l, s.heads})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || errors.Is(err, http.ErrServerClosed) {
@@ -70,6 +77,7 @@
 }
 
 func (s *Server) track(c net.Conn, state http.ConnState) {
+	trackHead(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -85,21 +85,16 @@
 	return nil
 }
 
-const (
-	// requestBytes is the memory that a request takes beside its head and its body: the
-	// goroutine that handles it.
-	requestBytes = 16 << 10
-	// headLineBytes is the memory that a line of a head takes beside its text: an entry of a
-	// map, which grows by doubling, and a slice.
-	headLineBytes = 128
-)
+// requestBytes is the memory that a request takes beside its head and its body: the goroutine
+// that handles it.
+const requestBytes = 16 << 10
 
 // headBytes returns the memory that a head takes, in bytes.
 func headBytes(in *http.Request) int64 {
 	n := len(in.RequestURI) + len(in.Host)
 	for name, values := range in.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + headLineBytes
+			n += len(name) + len(v) + memory.HeadLineBytes
 		}
 	}
 	return int64(n)
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -106,7 +105,7 @@
 func (c *conn) readHead() (*http.Request, error) {
 	charged := int64(0)
 	c.limit.charge = func(p []byte) error {
-		n := int64(len(p) + headLineBytes*bytes.Count(p, []byte("\n")))
+		n := memory.HeadBytes(p)
 		if err := c.reading.Reserve(n); err != nil {
 			return err
 		}
--- /dev/null
+++ b/test/crowd_test.go
@@ -0,0 +1,129 @@
+package test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// smallMemoryBytes is the memory of a small instance, see docs/CAPACITY.md.
+	smallMemoryBytes = 256_000_000
+	// callerHeadBytes is below the limit of the own interface's HTTP server.
+	callerHeadBytes = 60 << 10
+)
+
+// memoryPeak returns the highest resident memory of a process so far, in bytes, or 0 if it has
+// ended.
+func memoryPeak(pid int) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
+			return kib << 10
+		}
+	}
+	return 0
+}
+
+// Guards against a process of the own interface that exceeds its memory since clients send
+// much and keep the end of their requests back. See platform/crowd_test.go.
+func TestCrowdOfUnfinishedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		clients int
+		request string
+	}{
+		{"head of short lines", 400, "GET /slots/1 HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", callerHeadBytes/4)},
+		{"head of different names", 400, "GET /slots/1 HTTP/1.1\r\nHost: h\r\n" + differentNames(callerHeadBytes)},
+		{"body without its last byte", 400, "POST /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("b", 999_999)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			logAddress, server, callers := freeAddress(t), freeAddress(t), freeAddress(t)
+			start(t, "trefoilstandin", "log", "--listen", logAddress)
+			start(t, "trefoilstandin", "backend", "--listen", server, "--id", "lookup-1")
+			logURL := "http://" + logAddress
+			daemon := start(t, "trefoilstreamd", "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
+				"--peer-listen", freeAddress(t), "--admin-listen", freeAddress(t), "--log-url", logURL, "--instances-url", logURL)
+			eventually(t, 5*time.Second, "log service is up", func() bool {
+				status, _ := get(logAddress, "/v1/records?after=0", "")
+				return status == http.StatusOK
+			})
+			document := writeFile(t, crowdDocument, sha256.Sum256([]byte("secret")), server)
+			if msg, err := exec.Command(filepath.Join(binaries, "trefoilctl"), "publish", "--log-url", logURL, document).CombinedOutput(); err != nil {
+				t.Fatalf("publish: %v: %s", err, msg)
+			}
+			ordinary := func() bool {
+				status, _ := get(callers, "/slots/1", "secret")
+				return status == http.StatusOK
+			}
+			eventually(t, 10*time.Second, "request is served", ordinary)
+			for range 2 {
+				var mu sync.Mutex
+				var conns []net.Conn
+				var crowd sync.WaitGroup
+				for range c.clients {
+					crowd.Go(func() {
+						conn, err := net.DialTimeout("tcp", callers, 5*time.Second)
+						if err != nil {
+							return
+						}
+						mu.Lock()
+						conns = append(conns, conn)
+						mu.Unlock()
+						_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+						_, _ = io.WriteString(conn, c.request)
+					})
+				}
+				crowd.Wait()
+				time.Sleep(500 * time.Millisecond) // until the instance has read what it reads
+				eventually(t, 20*time.Second, "an ordinary request is served beside the crowd", ordinary)
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+				eventually(t, 20*time.Second, "an ordinary request is served after the crowd has left", ordinary)
+			}
+			peak := memoryPeak(daemon.Process.Pid)
+			t.Logf("%d MB at its peak", peak/1e6)
+			if peak == 0 || peak > smallMemoryBytes {
+				t.Errorf("the instance had %d MB at its peak, a small one has %d MB; 0 if it has ended", peak/1e6, smallMemoryBytes/1_000_000)
+			}
+		})
+	}
+}
+
+const crowdDocument = `
+version: 1
+environment: trial
+failure_domains:
+  - {id: astoria, region: lower-columbia}
+teams:
+  - {id: dispatch, rate: 1000, burst: 1000}
+keys:
+  - {id: dispatch-1, team: dispatch, sha256: "%x"}
+services:
+  - {id: lookup, floor: 1}
+servers:
+  - {id: lookup-1, service: lookup, failure_domain: astoria, address: "%s", slots: 2}
+routes:
+  - {id: lookup, service: lookup, methods: [GET, POST], path: "/slots/*", idempotent: true}
+`
+
+// differentNames returns lines of a head with n bytes, each with a name of its own.
+func differentNames(n int) string {
+	var b strings.Builder
+	for k := 0; b.Len() < n; k++ {
+		b.WriteString(strconv.FormatInt(int64(k), 36) + ":\r\n")
+	}
+	return b.String()
+}
