entry: buffered bodies count by the memory that they take

The account of buffered bodies (64 MB) counted the bytes that had arrived, while their buffers doubled: up to twice as much was held, and three times while one grew. It is no failure that was seen.

Now the buffer itself is reserved before it is allocated, and the smaller one released after; it never grows beyond the announced length.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"errors"
 	"io"
@@ -110,31 +109,44 @@
 	b.Digest = sum[:]
 }
 
-// buffer reads up to n bytes and reports whether that was the whole body.
+// buffer reads up to n bytes, and one more, which tells a body of n bytes from a longer one. It
+// reports whether that was the whole body.
 func (b *Body) buffer(source io.Reader, n int64) (whole bool, err error) {
-	var buffered bytes.Buffer
-	for {
-		// One byte more than n tells a body of n bytes from a longer one.
-		step := min(chunkBytes, n+1-int64(buffered.Len()))
-		if step <= 0 {
-			b.Buffered = buffered.Bytes()
-			return false, nil
+	for int64(len(b.Buffered)) <= n {
+		if len(b.Buffered) == cap(b.Buffered) {
+			if err := b.grow(n + 1); err != nil {
+				return false, err
+			}
 		}
-		if !b.memory.reserve(step) {
-			return false, errkind.Errorf(errkind.Overloaded, "buffered request bodies exceed %d bytes", bodyMemoryBytes)
-		}
-		b.reserved += step
-		got, err := io.CopyN(&buffered, source, step)
+		got, err := source.Read(b.Buffered[len(b.Buffered):cap(b.Buffered)])
+		b.Buffered = b.Buffered[:len(b.Buffered)+got]
 		if err == io.EOF {
-			b.memory.reserved.Add(got - step)
-			b.reserved += got - step
-			b.Buffered = buffered.Bytes()
 			return true, nil
 		}
 		if err != nil {
 			return false, err
 		}
 	}
+	return false, nil
+}
+
+// grow doubles the buffer, up to a number of bytes or the known length of the body. The larger
+// buffer is reserved before the smaller one is released.
+func (b *Body) grow(most int64) error {
+	if b.Length >= 0 {
+		most = min(most, b.Length+1)
+	}
+	old := int64(cap(b.Buffered))
+	size := max(min(max(2*old, chunkBytes), most), old+1)
+	if !b.memory.reserve(size) {
+		return errkind.Errorf(errkind.Overloaded, "buffered request bodies exceed %d bytes", bodyMemoryBytes)
+	}
+	grown := make([]byte, len(b.Buffered), size)
+	copy(grown, b.Buffered)
+	b.Buffered = grown
+	b.memory.reserved.Add(-old)
+	b.reserved += size - old
+	return nil
 }
 
 func bodyError(err error, route document.Route) error {
