fleet, memory: small bodies stay one segment and one frame

Found by reading: with bodies in segments, one of 8 KiB took two frames between instances and an empty last one, where it was one frame before. The last part of a body carries its end again, and the first segment has 16 KiB.

--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -84,13 +84,18 @@
 }
 
 func sendBody(stream peerpb.DRPCCoordination_SendClient, body memory.Buffer) error {
+	left := body.Len()
 	for _, segment := range body.Segments() {
 		for part := range slices.Chunk(segment, bodyFrameBytes) {
-			if err := stream.Send(&peerpb.SendFrame{Body: part}); err != nil {
+			left -= int64(len(part))
+			if err := stream.Send(&peerpb.SendFrame{Body: part, End: left == 0}); err != nil {
 				return err
 			}
 		}
 	}
+	if body.Len() > 0 {
+		return nil
+	}
 	return stream.Send(&peerpb.SendFrame{End: true})
 }
 
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -2,6 +2,7 @@
 
 import "time"
 
+// hasRoom reports whether one more connection may be open.
 func (s *Server) hasRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -11,7 +12,8 @@
 // maxLeaving bounds the connections that are being closed and still use a descriptor.
 const maxLeaving = 32
 
-// makeRoom closes the connection that callers miss least, and reports whether there is one.
+// makeRoom closes the connection that has been idle for longest, see idleFor, and reports whether
+// there is one that can be closed.
 func (s *Server) makeRoom(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/memory/buffer.go
+++ b/internal/memory/buffer.go
@@ -9,7 +9,7 @@
 const (
 	// firstSegmentBytes and maxSegmentBytes bound the segments of a buffer. Each is as large as
 	// all before it together.
-	firstSegmentBytes = 4 << 10
+	firstSegmentBytes = 16 << 10
 	maxSegmentBytes   = 256 << 10
 )
 
