settings: amounts with a fraction are taken, and those that overflow are none

Found by reading: the platform writes some of a machine's limits with a fraction (link-bandwidth-mbps: 1000.0). An instance whose memory-mb or file-descriptors came so would not have started. TestAmounts fails on the code before (284.0). A holder's field is named for what it says.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -86,13 +86,15 @@
 type Holder struct {
 	account *Account
 	evict   func() bool
-	// held, moved, asked and open are guarded by the account's mutex.
+	// The fields below are guarded by the account's mutex.
+
 	held int64
 	// moved is when the holder last made progress.
 	moved time.Time
 	// asked is set once the holder was asked to give way, until it holds nothing.
 	asked bool
-	open  bool
+	// evictable is set while the holder may be asked to give way.
+	evictable bool
 }
 
 // NewHolder returns a holder that holds nothing. Evict, if it is not nil, is called when memory
@@ -104,7 +106,7 @@
 	if a == nil {
 		return nil
 	}
-	return &Holder{account: a, evict: evict, open: true}
+	return &Holder{account: a, evict: evict, evictable: true}
 }
 
 // SetEvictable says whether the holder may be asked to give way. A new one may.
@@ -114,7 +116,7 @@
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.open = evictable
+	h.evictable = evictable
 	h.account.list(h)
 }
 
@@ -263,7 +265,7 @@
 
 // list adds a holder to the evictable ones, or removes it. The caller holds mu.
 func (a *Account) list(h *Holder) {
-	if h.evict != nil && h.open && h.held > 0 {
+	if h.evict != nil && h.evictable && h.held > 0 {
 		a.evictable[h] = struct{}{}
 	} else {
 		delete(a.evictable, h)
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -103,7 +103,7 @@
 		}
 	}
 	for _, n := range []struct{ flag, value string }{{"memory-mb", s.Memory}, {"file-descriptors", s.Descriptors}} {
-		if v, err := strconv.ParseInt(n.value, 10, 32); n.value != "" && (err != nil || v <= 0) {
+		if n.value != "" && parseAmount(n.value) == 0 {
 			addErr(n.flag, "%q is not a positive number", n.value)
 		}
 	}
@@ -124,18 +124,19 @@
 }
 
 // MemoryBytes returns the memory of the machine, or 0 if it is not set.
-func (s *Instance) MemoryBytes() int64 {
-	mb, err := strconv.ParseInt(s.Memory, 10, 32)
-	if err != nil {
-		return 0
-	}
-	return mb * 1_000_000
-}
+func (s *Instance) MemoryBytes() int64 { return int64(parseAmount(s.Memory) * 1e6) }
 
 // DescriptorCount returns how many descriptors may be open, or 0 if it is not set.
-func (s *Instance) DescriptorCount() int {
-	n, err := strconv.Atoi(s.Descriptors)
-	if err != nil {
+func (s *Instance) DescriptorCount() int { return int(parseAmount(s.Descriptors)) }
+
+// maxAmount is more than any machine has, and far from where amounts in bytes overflow.
+const maxAmount = 1e9
+
+// parseAmount returns a number from 1 to maxAmount, or 0 if the text is none. The platform writes
+// some numbers with a fraction.
+func parseAmount(text string) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= 1 && n <= maxAmount) {
 		return 0
 	}
 	return n
--- a/internal/settings/instance_test.go
+++ b/internal/settings/instance_test.go
@@ -50,3 +50,16 @@
 		}
 	}
 }
+
+// Guards against amounts that overflow, and against an instance that does not start since the
+// platform writes a number with a fraction.
+func TestAmounts(t *testing.T) {
+	for text, want := range map[string]int64{
+		"": 0, "284": 284_000_000, "284.0": 284_000_000, "0.5": 0, "0": 0, "-1": 0, "NaN": 0, "Inf": 0, "1e300": 0, "much": 0, "1e6": 1e12,
+	} {
+		s := &Instance{Memory: text, Descriptors: text}
+		if s.MemoryBytes() != want || int64(s.DescriptorCount()) != want/1_000_000 {
+			t.Errorf("%q: %d bytes, %d descriptors, want %d bytes", text, s.MemoryBytes(), s.DescriptorCount(), want)
+		}
+	}
+}
