ingress: the test of stalled uploads says which one has to give way

It is the test: it sent the three at the same time, so another one could be the one that had stalled for longest, and got the refusal instead.

The check is the same.

--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -128,6 +128,9 @@
 	s, l := listenBounded(t, &handler{serve: echo, limits: catalog.Limits{BodyBytes: 1 << 20}}, 5<<20, 0)
 	stalled, r := dial(t, l)
 	_, _ = io.WriteString(stalled, upload(1<<20, 1))
+	// The first one has to be read before the others, since it is to give way.
+	eventually(t, "the first upload is read", func() bool { return s.Memory.Used() > 1<<20 })
+	time.Sleep(50 * time.Millisecond)
 	for range 2 {
 		c, _ := dial(t, l)
 		_, _ = io.WriteString(c, upload(1<<20, 1))
