--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -36,6 +36,28 @@
 	return 0
 }
 
+// startCrowdedInstance starts an instance of the own interface with a document, whose %x is the
+// digest of a key and whose %s is the address of a backend server, and returns it with its
+// address for callers.
+func startCrowdedInstance(t *testing.T, document string) (daemon *exec.Cmd, callers string) {
+	t.Helper()
+	logAddress, server, callers := freeAddress(t), freeAddress(t), freeAddress(t)
+	start(t, "trefoilstandin", "log", "--listen", logAddress)
+	start(t, "trefoilstandin", "backend", "--listen", server, "--id", "lookup-1")
+	logURL := "http://" + logAddress
+	daemon = start(t, "trefoilstreamd", "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
+		"--peer-listen", freeAddress(t), "--admin-listen", freeAddress(t), "--log-url", logURL, "--instances-url", logURL)
+	eventually(t, 5*time.Second, "log service is up", func() bool {
+		status, _ := get(logAddress, "/v1/records?after=0", "")
+		return status == http.StatusOK
+	})
+	file := writeFile(t, document, sha256.Sum256([]byte("secret")), server)
+	if msg, err := exec.Command(filepath.Join(binaries, "trefoilctl"), "publish", "--log-url", logURL, file).CombinedOutput(); err != nil {
+		t.Fatalf("publish: %v: %s", err, msg)
+	}
+	return daemon, callers
+}
+
 // Guards against a process of the own interface that exceeds its memory since clients send
 // much and keep the end of their requests back. See platform/crowd_test.go.
 func TestCrowdOfUnfinishedRequests(t *testing.T) {
@@ -49,20 +71,7 @@
 		{"body without its last byte", 400, "POST /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("b", 999_999)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			logAddress, server, callers := freeAddress(t), freeAddress(t), freeAddress(t)
-			start(t, "trefoilstandin", "log", "--listen", logAddress)
-			start(t, "trefoilstandin", "backend", "--listen", server, "--id", "lookup-1")
-			logURL := "http://" + logAddress
-			daemon := start(t, "trefoilstreamd", "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
-				"--peer-listen", freeAddress(t), "--admin-listen", freeAddress(t), "--log-url", logURL, "--instances-url", logURL)
-			eventually(t, 5*time.Second, "log service is up", func() bool {
-				status, _ := get(logAddress, "/v1/records?after=0", "")
-				return status == http.StatusOK
-			})
-			document := writeFile(t, crowdDocument, sha256.Sum256([]byte("secret")), server)
-			if msg, err := exec.Command(filepath.Join(binaries, "trefoilctl"), "publish", "--log-url", logURL, document).CombinedOutput(); err != nil {
-				t.Fatalf("publish: %v: %s", err, msg)
-			}
+			daemon, callers := startCrowdedInstance(t, crowdDocument)
 			ordinary := func() bool {
 				status, _ := get(callers, "/slots/1", "secret")
 				return status == http.StatusOK
@@ -102,6 +111,109 @@
 	}
 }
 
+// Guards against bodies that stall and keep the memory for bodies from others until their time
+// limit, which is beyond the end of this test.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	const bodyBytes = 1_000_000
+	for _, c := range []struct {
+		name string
+		// waves are the clients of the crowd. The later ones announce smaller bodies, which
+		// take what the earlier ones left.
+		waves []stalledBodies
+	}{
+		{"before the request is sent on", []stalledBodies{
+			{clients: 150, announced: bodyBytes, sent: bodyBytes - 1},
+			{clients: 60, announced: 200_000, sent: 199_999},
+			{clients: 100, announced: 20_000, sent: 19_999},
+		}},
+		{"while the request is sent on", []stalledBodies{
+			{clients: 150, announced: 3 * bodyBytes, sent: 2 * bodyBytes},
+			{clients: 60, announced: 200_000, sent: 199_999},
+			{clients: 100, announced: 20_000, sent: 19_999},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			daemon, callers := startCrowdedInstance(t, stalledDocument)
+			served := func(bytes int) func() bool {
+				return func() bool { return post(callers, "/slots/1", "secret", bytes) == http.StatusOK }
+			}
+			eventually(t, 10*time.Second, "a request is served", served(bodyBytes))
+			for range 2 {
+				var conns []net.Conn
+				for _, w := range c.waves {
+					conns = append(conns, w.send(callers)...)
+				}
+				time.Sleep(500 * time.Millisecond) // until the instance has read what it reads
+				eventually(t, 20*time.Second, "a request with a body is served beside the crowd", served(bodyBytes/10))
+				eventually(t, 20*time.Second, "a request with a large body is served beside the crowd", served(bodyBytes))
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+				eventually(t, 20*time.Second, "a request with a large body is served after the crowd has left", served(bodyBytes))
+			}
+			peak := memoryPeak(daemon.Process.Pid)
+			t.Logf("%d MB at its peak", peak/1e6)
+			if peak == 0 || peak > smallMemoryBytes {
+				t.Errorf("the instance had %d MB at its peak, a small one has %d MB; 0 if it has ended", peak/1e6, smallMemoryBytes/1_000_000)
+			}
+		})
+	}
+}
+
+// stalledBodies are clients that send a part of the bodies that they announce, in bytes.
+type stalledBodies struct{ clients, announced, sent int }
+
+// send makes the clients send one after the other, and returns their connections.
+func (s stalledBodies) send(address string) []net.Conn {
+	request := fmt.Sprintf("POST /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s",
+		s.announced, strings.Repeat("b", s.sent))
+	var conns []net.Conn
+	for range s.clients {
+		conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+		if err != nil {
+			continue
+		}
+		conns = append(conns, conn)
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(conn, request)
+	}
+	return conns
+}
+
+// post sends one POST request with a body of a number of bytes and returns its status, or 0 if
+// no response arrived.
+func post(address, path, key string, bytes int) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(strings.Repeat("b", bytes)))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+const stalledDocument = `
+version: 1
+environment: trial
+failure_domains:
+  - {id: astoria, region: lower-columbia}
+teams:
+  - {id: dispatch, rate: 1000, burst: 1000}
+keys:
+  - {id: dispatch-1, team: dispatch, sha256: "%x"}
+services:
+  - {id: lookup, floor: 1}
+servers:
+  - {id: lookup-1, service: lookup, failure_domain: astoria, address: "%s", slots: 400}
+routes:
+  - {id: lookup, service: lookup, methods: [GET, POST], path: "/slots/*", idempotent: true, max_body: 4000000, timeout: 10m}
+`
+
 const crowdDocument = `
 version: 1
 environment: trial
