entry: stalled bodies give way, and a large body is served in calm again

Callers saw, on the own interface: while clients kept the ends of their bodies back, every other request with a body was refused (overloaded, not_run) until the time limit of those clients' requests.

Cause: buffered bodies had one counter without holders, so who came next was refused, not who held most and moved least. And a buffer grew by doubling, with the old and the new one counted, so 64 MB could not hold a body of 33.

Now bodies are read in segments, each reserved before it is allocated from an account like that of the platform's instances (the same 64 MB; three quarters for those above 256 KiB). A body gives way only while a read from its caller is under way, so nothing that is being sent or waits for a server is cut off. The refusal is instance_full: not_run while nothing was sent, unknown once a part was. A body that can never fit is refused by its length. memory_short says that it happens.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -6,10 +6,14 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/document"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
 const (
@@ -25,7 +29,7 @@
 // Body is the body of a request.
 type Body struct {
 	// Buffered is the beginning of the body, or all of it if Remaining is nil.
-	Buffered []byte
+	Buffered memory.Buffer
 	// Remaining streams what follows Buffered. It can be read once.
 	Remaining io.Reader
 	// Length is in bytes, or -1 if it is not known.
@@ -33,13 +37,10 @@
 	// Digest is the SHA-256 digest, or nil if Remaining is not nil.
 	Digest []byte
 
-	memory   *bodyMemory
-	reserved int64
+	source *bodySource
 	// readDone is closed when Remaining is no longer read. It is nil if
 	// Remaining was never read.
 	readDone chan struct{}
-	// interrupt makes a blocked read of Remaining return.
-	interrupt func()
 }
 
 // release waits until the body is no longer read, since it must not be read
@@ -49,77 +50,132 @@
 		select {
 		case <-b.readDone:
 		default:
-			b.interrupt()
+			b.source.interrupt()
 			<-b.readDone
 		}
 	}
-	if b.memory != nil {
-		b.memory.reserved.Add(-b.reserved)
-		b.reserved = 0
+	if b.source != nil {
+		b.source.held.ReleaseAll()
 	}
 }
 
-// bodyMemory bounds the memory of all buffered bodies.
-type bodyMemory struct{ reserved atomic.Int64 }
+// newBodyAccount returns the account of all buffered bodies.
+func newBodyAccount() *memory.Account {
+	return memory.NewAccount(memory.Limits{Total: bodyMemoryBytes, Large: bodyMemoryBytes / 4 * 3}, func(s memory.Shortage) {
+		log.WithFields(log.Fields{
+			"event": "memory_short", "used": s.Used, "limit": s.Limits.Total, "evicted": s.Evicted, "refused": s.Refused,
+		}).Warn("memory for request bodies is used up")
+	})
+}
+
+// bodySource reads a body from its caller. When memory is short, a body gives way whose caller
+// it waits for.
+type bodySource struct {
+	reader io.Reader
+	held   *memory.Holder
+	// interrupt makes a blocked read return.
+	interrupt func()
+
+	mu sync.Mutex
+	// waiting is set during a read.
+	waiting, evicted bool
+}
 
-func (m *bodyMemory) reserve(n int64) bool {
-	if m.reserved.Add(n) <= bodyMemoryBytes {
-		return true
+// Read implements io.Reader.
+func (s *bodySource) Read(p []byte) (int, error) {
+	if !s.setWaiting(true) {
+		return 0, memory.ErrShort
+	}
+	n, err := s.reader.Read(p)
+	if n > 0 {
+		s.held.Moved(time.Now())
+	}
+	if !s.setWaiting(false) {
+		return 0, memory.ErrShort
 	}
-	m.reserved.Add(-n)
-	return false
+	return n, err
+}
+
+// setWaiting notes whether a read is under way. It reports false once the body has given way.
+func (s *bodySource) setWaiting(waiting bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = waiting
+	return !s.evicted
+}
+
+// evict makes the body give way if a read is under way, and reports whether it does.
+func (s *bodySource) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.waiting {
+		return false
+	}
+	s.evicted = true
+	s.interrupt()
+	return true
 }
 
 func tooLarge(route document.Route) error {
 	return errkind.Errorf(errkind.BodyTooLarge, "body exceeds %d bytes", route.MaxBodyBytes())
 }
 
-// read reads the body of a request, all of it or up to maxBufferedBytes. Bodies
+// readBody reads the body of a request, all of it or up to maxBufferedBytes. Bodies
 // on non-idempotent routes are buffered completely, since idempotency claims
 // compare digests of complete bodies.
-func (m *bodyMemory) read(w http.ResponseWriter, r *http.Request, route document.Route) (*Body, error) {
+func readBody(w http.ResponseWriter, r *http.Request, route document.Route, account *memory.Account) (*Body, error) {
 	limit := route.MaxBodyBytes()
 	bufferLimit := limit
 	if route.Idempotent {
 		bufferLimit = min(bufferLimit, maxBufferedBytes)
 	}
-	b := &Body{Length: r.ContentLength, memory: m}
+	b := &Body{Length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.Length = 0
 		b.digest()
 		return b, nil
 	}
-	source := http.MaxBytesReader(w, r.Body, limit)
-	whole, err := b.buffer(source, bufferLimit)
+	if total := account.Limits().Total; min(b.Length, bufferLimit) >= total {
+		return nil, errkind.Errorf(errkind.InstanceFull, "body of %d bytes exceeds the %d bytes for all callers", b.Length, total)
+	}
+	control := http.NewResponseController(w)
+	b.source = &bodySource{
+		reader:    http.MaxBytesReader(w, r.Body, limit),
+		interrupt: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) },
+	}
+	b.source.held = account.NewHolder(b.source.evict)
+	whole, err := b.buffer(bufferLimit)
 	if err != nil {
 		b.release()
 		return nil, bodyError(err, route)
 	}
 	if whole {
-		b.Length = int64(len(b.Buffered))
+		b.Length = b.Buffered.Len()
 		b.digest()
 		return b, nil
 	}
-	b.Remaining = &restReader{source: source, route: route}
+	b.Remaining = &restReader{source: b.source, route: route}
 	return b, nil
 }
 
 func (b *Body) digest() {
-	sum := sha256.Sum256(b.Buffered)
-	b.Digest = sum[:]
+	hash := sha256.New()
+	for _, segment := range b.Buffered.Segments() {
+		hash.Write(segment)
+	}
+	b.Digest = hash.Sum(nil)
 }
 
 // buffer reads up to n bytes, and one more, which tells a body of n bytes from a longer one. It
 // reports whether that was the whole body.
-func (b *Body) buffer(source io.Reader, n int64) (whole bool, err error) {
-	for int64(len(b.Buffered)) <= n {
-		if len(b.Buffered) == cap(b.Buffered) {
-			if err := b.grow(n + 1); err != nil {
-				return false, err
-			}
-		}
-		got, err := source.Read(b.Buffered[len(b.Buffered):cap(b.Buffered)])
-		b.Buffered = b.Buffered[:len(b.Buffered)+got]
+func (b *Body) buffer(n int64) (whole bool, err error) {
+	end := n + 1
+	if b.Length >= 0 {
+		// One byte more than the length, so that the read finds the end of the body.
+		end = min(end, b.Length+1)
+	}
+	for b.Buffered.Len() < end {
+		err := b.Buffered.ReadSegment(b.source, end-b.Buffered.Len(), b.source.held)
 		if err == io.EOF {
 			return true, nil
 		}
@@ -130,31 +186,14 @@
 	return false, nil
 }
 
-// grow doubles the buffer, up to a number of bytes or the known length of the body. The larger
-// buffer is reserved before the smaller one is released.
-func (b *Body) grow(most int64) error {
-	if b.Length >= 0 {
-		most = min(most, b.Length+1)
-	}
-	old := int64(cap(b.Buffered))
-	size := max(min(max(2*old, chunkBytes), most), old+1)
-	if !b.memory.reserve(size) {
-		return errkind.Errorf(errkind.Overloaded, "buffered request bodies exceed %d bytes", bodyMemoryBytes)
-	}
-	grown := make([]byte, len(b.Buffered), size)
-	copy(grown, b.Buffered)
-	b.Buffered = grown
-	b.memory.reserved.Add(-old)
-	b.reserved += size - old
-	return nil
-}
-
 func bodyError(err error, route document.Route) error {
 	var known *errkind.Error
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &known):
 		return known
+	case errors.Is(err, memory.ErrShort):
+		return errkind.Errorf(errkind.InstanceFull, "read body: %w", err)
 	case errors.As(err, &large):
 		return tooLarge(route)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"trefoilstream.example/trefoilstream/internal/board"
 	"trefoilstream.example/trefoilstream/internal/document"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/metrics"
 )
 
@@ -69,12 +70,14 @@
 	Observer   Observer
 
 	routes routeTable
-	bodies bodyMemory
+	// bodies counts the memory of buffered bodies.
+	bodies *memory.Account
 }
 
 // Handler returns the HTTP handler for callers. It also serves /livez and
 // /readyz for the load balancer.
 func (e *Entry) Handler() http.Handler {
+	e.bodies = newBodyAccount()
 	srv := echo.New()
 	srv.HideBanner = true
 	srv.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -239,12 +242,11 @@
 	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	_ = control.SetReadDeadline(deadline)
-	body, err := e.bodies.read(w, r, req.Route)
+	body, err := readBody(w, r, req.Route, e.bodies)
 	if err != nil {
 		return err
 	}
 	defer body.release()
-	body.interrupt = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
 	if body.Remaining == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -361,11 +361,11 @@
 func TestBodiesStreamBothWays(t *testing.T) {
 	f := newFixture(t)
 	f.dispatcher.run = func(_ context.Context, r *Request) (*Response, error) {
-		if r.Body.Remaining == nil || len(r.Body.Buffered) < maxBufferedBytes {
+		if r.Body.Remaining == nil || r.Body.Buffered.Len() < maxBufferedBytes {
 			return nil, errkind.Errorf(errkind.Internal, "body is not streamed")
 		}
 		// The echo starts before the body has arrived.
-		echo := io.MultiReader(bytes.NewReader(r.Body.Buffered), r.Body.Remaining)
+		echo := io.MultiReader(r.Body.Buffered.Reader(), r.Body.Remaining)
 		return &Response{Status: 200, Header: http.Header{}, ContentLength: r.Body.Length, Body: io.NopCloser(echo)}, nil
 	}
 	c, r := f.dial(t)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -182,12 +183,12 @@
 }
 
 func sendBody(stream peerpb.DRPCOwner_ExecuteClient, b *Body) error {
-	for body := b.Buffered; len(body) > 0; {
-		n := min(len(body), chunkBytes)
-		if err := stream.Send(&peerpb.ExecuteFrame{Body: body[:n]}); err != nil {
-			return err
+	for _, segment := range b.Buffered.Segments() {
+		for part := range slices.Chunk(segment, chunkBytes) {
+			if err := stream.Send(&peerpb.ExecuteFrame{Body: part}); err != nil {
+				return err
+			}
 		}
-		body = body[n:]
 	}
 	if b.Remaining != nil {
 		buf := make([]byte, chunkBytes)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -12,6 +12,7 @@
 	"trefoilstream.example/trefoilstream/internal/board"
 	"trefoilstream.example/trefoilstream/internal/document"
 	"trefoilstream.example/trefoilstream/internal/errkind"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/peer"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/rights"
@@ -115,7 +116,7 @@
 }
 
 func request(idempotent bool) *Request {
-	b := &Body{Buffered: []byte("body"), Length: 4}
+	b := &Body{Buffered: memory.NewBuffer([]byte("body")), Length: 4}
 	b.digest()
 	return &Request{Route: document.Route{ID: "r", Service: "slots", Idempotent: idempotent}, Method: "PUT", URI: "/x", Body: b}
 }
--- a/internal/memory/buffer.go
+++ b/internal/memory/buffer.go
@@ -54,28 +54,35 @@
 	return io.MultiReader(readers...)
 }
 
+// ReadSegment appends the next segment, of at most most bytes, which is reserved from the holder
+// before it is allocated. Unless it returns an error, the segment is full. The error is ErrShort
+// or that of the reader.
+func (b *Buffer) ReadSegment(r io.Reader, most int64, h *Holder) error {
+	size := min(max(b.length, firstSegmentBytes), maxSegmentBytes, most)
+	if err := h.Reserve(size); err != nil {
+		return err
+	}
+	segment := make([]byte, size)
+	n, err := fill(r, segment)
+	b.Append(segment[:n])
+	return err
+}
+
 // ReadBuffer reads a body of a length, which is -1 if unknown, and of at most limit bytes. Each
 // segment is reserved from the holder before it is allocated. The error is ErrTooLarge,
 // ErrShort, or that of the reader.
 func ReadBuffer(r io.Reader, length, limit int64, h *Holder) (Buffer, error) {
 	var b Buffer
-	left := limit
+	end := limit
 	if length >= 0 {
-		left = length
+		end = length
 	}
-	for left > 0 {
-		size := min(max(b.length, firstSegmentBytes), maxSegmentBytes, left)
-		if err := h.Reserve(size); err != nil {
-			return Buffer{}, err
-		}
-		segment := make([]byte, size)
-		n, err := fill(r, segment)
-		b.Append(segment[:n])
-		left -= int64(n)
+	for b.length < end {
+		err := b.ReadSegment(r, end-b.length, h)
 		switch {
 		case err == io.EOF && length < 0:
 			return b, nil
-		case err == io.EOF && left > 0:
+		case err == io.EOF && b.length < end:
 			return Buffer{}, io.ErrUnexpectedEOF
 		case err != nil && err != io.EOF:
 			return Buffer{}, err
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -120,20 +120,27 @@
 		// waves are the clients of the crowd. The later ones announce smaller bodies, which
 		// take what the earlier ones left.
 		waves []stalledBodies
+		// coldSlots are those of the server.
+		coldSlots int
 	}{
 		{"before the request is sent on", []stalledBodies{
 			{clients: 150, announced: bodyBytes, sent: bodyBytes - 1},
 			{clients: 60, announced: 200_000, sent: 199_999},
 			{clients: 100, announced: 20_000, sent: 19_999},
-		}},
+		}, 1},
 		{"while the request is sent on", []stalledBodies{
 			{clients: 150, announced: 3 * bodyBytes, sent: 2 * bodyBytes},
 			{clients: 60, announced: 200_000, sent: 199_999},
 			{clients: 100, announced: 20_000, sent: 19_999},
-		}},
+		}, 1},
+		{"while the request is sent on to a warm server", []stalledBodies{
+			{clients: 150, announced: 3 * bodyBytes, sent: 2 * bodyBytes},
+			{clients: 60, announced: 200_000, sent: 199_999},
+			{clients: 100, announced: 20_000, sent: 19_999},
+		}, 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			daemon, callers := startCrowdedInstance(t, stalledDocument)
+			daemon, callers := startCrowdedInstance(t, fmt.Sprintf(stalledDocument, c.coldSlots))
 			served := func(bytes int) func() bool {
 				return func() bool { return post(callers, "/slots/1", "secret", bytes) == http.StatusOK }
 			}
@@ -205,11 +212,11 @@
 teams:
   - {id: dispatch, rate: 1000, burst: 1000}
 keys:
-  - {id: dispatch-1, team: dispatch, sha256: "%x"}
+  - {id: dispatch-1, team: dispatch, sha256: "%%x"}
 services:
-  - {id: lookup, floor: 1}
+  - {id: lookup, floor: 1, cold_slots: %d}
 servers:
-  - {id: lookup-1, service: lookup, failure_domain: astoria, address: "%s", slots: 400}
+  - {id: lookup-1, service: lookup, failure_domain: astoria, address: "%%s", slots: 400}
 routes:
   - {id: lookup, service: lookup, methods: [GET, POST], path: "/slots/*", idempotent: true, max_body: 4000000, timeout: 10m}
 `
