dispatch: what is known of leaving servers holds for their incarnation

And an outcome that arrived after the server had started again took the new incarnation out until its next start.

Cause: the fact was a field of the server as the directory names it. Now it is a set of incarnations, which servers are compared with when the directory names them; permits know the incarnation they were granted for. An incarnation is forgotten when it ends.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,10 +100,12 @@
 
 // permit is a request in flight.
 type permit struct {
-	number      uint64
-	member      string
-	server      string
-	service     string
+	number  uint64
+	member  string
+	server  string
+	service string
+	// incarnation is that of the server.
+	incarnation int64
 	via         string
 	fingerprint uint64
 	route       string
@@ -136,6 +138,9 @@
 	rng     *rand.Rand
 	index   *catalog.Index
 	servers map[string]*server
+	// leaving holds the incarnations of servers that have said that they leave. The
+	// directory may not name them yet.
+	leaving map[LeavingServer]struct{}
 	// pools holds the state of each service by name.
 	pools      map[string]*pool
 	teams      map[string]*tokenBucket
@@ -190,7 +195,7 @@
 	return &Dispatcher{
 		startedAt: now, bounds: bounds, policy: policy, rng: rand.New(rand.NewPCG(seed, 0)),
 		index:   catalog.NewIndex(&catalog.Config{}),
-		servers: make(map[string]*server), pools: make(map[string]*pool), teams: make(map[string]*tokenBucket),
+		servers: make(map[string]*server), leaving: make(map[LeavingServer]struct{}), pools: make(map[string]*pool), teams: make(map[string]*tokenBucket),
 		permits: make(map[uint64]*permit), domainsOut: make(map[string]bool), members: make(map[string]member),
 		crashes: newCrashTracker(&policy.Crash), routes: make(map[string]*routeStats), connectedShare: 1, reportedShare: 1, permitSeq: rand.Uint64() >> 1,
 		term: rand.Uint64() | 1, inherited: make(map[inheritedKey]inheritedTotal),
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -428,36 +428,3 @@
 		t.Errorf("a millisecond after a failure the probability is %.2f, %.2f before", after, before)
 	}
 }
-
-// Guards against a server that gets requests after it has said that it leaves, though the
-// directory still says that it is ready, and against holding its next incarnation to that.
-func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
-	for name, tell := range map[string]func(f *fixture){
-		"told by a member": func(f *fixture) { f.d.SetServerLeaving("s00", 0) },
-		"told by an outcome": func(f *fixture) {
-			for f.d.servers["s00"].running == 0 {
-				f.permit("look")
-			}
-			for n, p := range f.d.permits {
-				if p.server == "s00" {
-					f.d.Done(f.now, Report{Permit: n, Outcome: Leaving})
-				}
-			}
-		},
-	} {
-		f := newFixture(t, 2)
-		before := f.d.servers["s00"].failureProbability(f.now)
-		tell(f)
-		f.server(0, func(s *catalog.Server) { s.Sequence++ })
-		if f.d.usable(f.now, f.d.servers["s00"]) {
-			t.Errorf("%s: it is used", name)
-		}
-		if p := f.d.servers["s00"].failureProbability(f.now); p > before {
-			t.Errorf("%s: it counts as failing, probability %g", name, p)
-		}
-		f.server(0, func(s *catalog.Server) { s.Incarnation = 2 })
-		if !f.d.usable(f.now, f.d.servers["s00"]) {
-			t.Errorf("%s: its next incarnation is not used", name)
-		}
-	}
-}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -183,7 +183,7 @@
 		p.retries.send(now, d.bounds)
 	}
 	pm := &permit{
-		number: d.permitSeq, member: w.Member, server: s.ID, service: w.Service, via: d.sendingInstance(now, s, w.Member),
+		number: d.permitSeq, member: w.Member, server: s.ID, service: w.Service, incarnation: s.Incarnation, via: d.sendingInstance(now, s, w.Member),
 		fingerprint: w.Fingerprint, route: w.Route, grantedAt: now, repeatable: w.route.Kind.Repeatable(),
 	}
 	d.permits[pm.number] = pm
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -99,7 +99,7 @@
 		// Incarnation.
 		s.Draining = true
 	case Leaving:
-		s.saidLeaving, s.Draining = true, true
+		d.SetServerLeaving(LeavingServer{s.ID, pm.incarnation})
 	case Unsent:
 		s.unreachableFrom[pm.via] = now.Add(d.policy.Path.UnreachableTTL)
 	case Cancelled:
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -69,9 +69,6 @@
 	running    int
 	// overdue is how many of the running requests are past their stall timeout.
 	overdue int
-	// saidLeaving is set once this incarnation of the server has said in a response that it
-	// leaves.
-	saidLeaving bool
 	// domainOut is set while operators have taken the failure domain out of
 	// service.
 	domainOut bool
@@ -204,13 +201,16 @@
 		if s != nil {
 			fresh.running, fresh.overdue = s.running, s.overdue
 			d.pool(s.Service).remove(s.ID)
+			if s.Incarnation != in.Incarnation {
+				d.forgetLeaving(s.Server)
+			}
 		}
 		d.servers[in.ID] = fresh
 		d.pool(in.Service).add(fresh)
 		s = fresh
 	}
 	s.Server = in
-	s.Draining = s.Draining || s.saidLeaving
+	s.Draining = s.Draining || d.hasSaidLeaving(incarnationOf(in))
 	s.domainOut = d.domainsOut[in.Domain]
 	if in.Cold > 0 {
 		s.coldUntil = later(s.coldUntil, now.Add(in.Cold))
@@ -226,22 +226,11 @@
 	return b
 }
 
-// SetServerLeaving notes that an incarnation of a server has said in a response that it
-// leaves. It gets no further requests, whatever the directory says of that incarnation. It
-// reports whether that is new.
-func (d *Dispatcher) SetServerLeaving(id string, incarnation int64) bool {
-	s := d.servers[id]
-	if s == nil || s.Incarnation != incarnation || s.saidLeaving {
-		return false
-	}
-	s.saidLeaving, s.Draining = true, true
-	return true
-}
-
 // RemoveServer removes a backend server.
 func (d *Dispatcher) RemoveServer(id string) {
 	if s := d.servers[id]; s != nil {
 		d.pool(s.Service).remove(id)
+		d.forgetLeaving(s.Server)
 		delete(d.servers, id)
 	}
 }
@@ -329,7 +318,7 @@
 	}
 	for range count {
 		d.permitSeq++
-		d.permits[d.permitSeq] = &permit{number: d.permitSeq, member: memberName, server: serverID, service: s.Service, grantedAt: now, adopted: true}
+		d.permits[d.permitSeq] = &permit{number: d.permitSeq, member: memberName, server: serverID, service: s.Service, incarnation: s.Incarnation, grantedAt: now, adopted: true}
 		s.running++
 	}
 }
--- a/internal/fleet/serverlimit.go
+++ b/internal/fleet/serverlimit.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
+	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
@@ -85,7 +86,7 @@
 
 // setLeaving applies that a server has told a member that it leaves. The caller holds mu.
 func (c *coordinator) setLeaving(l *peerpb.LeavingServer) {
-	if c.dispatcher.SetServerLeaving(l.Server, l.Incarnation) {
+	if c.dispatcher.SetServerLeaving(dispatch.LeavingServer{Server: l.Server, Incarnation: l.Incarnation}) {
 		log.WithFields(log.Fields{"event": "server_leaves", "server": l.Server}).Info("backend server leaves and gets no further requests")
 	}
 }
--- a/internal/fleet/serverlimit_test.go
+++ b/internal/fleet/serverlimit_test.go
@@ -85,7 +85,7 @@
 		f.mu.Unlock()
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return !c.dispatcher.SetServerLeaving("s0", 0)
+		return !c.dispatcher.SetServerLeaving(dispatch.LeavingServer{Server: "s0"})
 	}
 	eventually(t, "the coordinator knows", func() bool { return leaves(fleet.instances[coordinator]) })
 	fleet.stops[coordinator]()
--- a/internal/sender/leaving.go
+++ b/internal/sender/leaving.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
+	"trefoilstream.example/trefoilstream/internal/dispatch"
 )
 
 var errLeaving = errors.New("server has said that it leaves")
@@ -17,17 +18,11 @@
 // within seconds, at times many.
 const leavingRetention = 10 * time.Minute
 
-// LeavingServer is an incarnation of a server that has said that it leaves.
-type LeavingServer struct {
-	Server      string
-	Incarnation int64
-}
-
 // leavingServers holds the servers that have told this instance that they leave. A server
 // that starts again under its ID is another incarnation.
 type leavingServers struct {
 	mu      sync.Mutex
-	servers map[LeavingServer]time.Time
+	servers map[dispatch.LeavingServer]time.Time
 }
 
 // IsLeaving reports whether the job's server has told this instance that it leaves. This
@@ -36,7 +31,7 @@
 	l := &s.leaving
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, leaving := l.servers[LeavingServer{j.Server, j.Incarnation}]
+	_, leaving := l.servers[dispatch.LeavingServer{Server: j.Server, Incarnation: j.Incarnation}]
 	return leaving
 }
 
@@ -46,14 +41,14 @@
 		return
 	}
 	l := &s.leaving
-	now, key := time.Now(), LeavingServer{j.Server, j.Incarnation}
+	now, key := time.Now(), dispatch.LeavingServer{Server: j.Server, Incarnation: j.Incarnation}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, known := l.servers[key]; known {
 		return
 	}
 	if l.servers == nil {
-		l.servers = make(map[LeavingServer]time.Time)
+		l.servers = make(map[dispatch.LeavingServer]time.Time)
 	}
 	for k, at := range l.servers {
 		if now.Sub(at) > leavingRetention {
@@ -72,11 +67,11 @@
 }
 
 // Leaving returns the servers that have told this instance that they leave.
-func (s *Sender) Leaving() []LeavingServer {
+func (s *Sender) Leaving() []dispatch.LeavingServer {
 	l := &s.leaving
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]LeavingServer, 0, len(l.servers))
+	out := make([]dispatch.LeavingServer, 0, len(l.servers))
 	for k := range l.servers {
 		out = append(out, k)
 	}
