fleet: standbys know the servers that have said that they leave

It is no fault of the test.

The coordinator now announces newly leaving incarnations to its standbys, and all of them to new standbys (a field of FleetState; older instances ignore it). They note them as if told themselves, so they send nothing there, and tell the next coordinator, which may be one of them. What a member's outcome tells is announced too: it may overtake the member's message.

NewlyLeaving is checked in TestServerThatSaysItLeavesGetsNothing.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,6 +141,8 @@
 	// leaving holds the incarnations of servers that have said that they leave. The
 	// directory may not name them yet.
 	leaving map[LeavingServer]struct{}
+	// newlyLeaving are those of them that the caller has not fetched yet.
+	newlyLeaving []LeavingServer
 	// pools holds the state of each service by name.
 	pools      map[string]*pool
 	teams      map[string]*tokenBucket
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -10,16 +10,24 @@
 
 // SetServerLeaving notes that an incarnation of a server has said in a response that it
 // leaves. It gets no further requests, whatever the directory says of that incarnation, now
-// or once the directory names it. It reports whether that is new.
-func (d *Dispatcher) SetServerLeaving(l LeavingServer) bool {
+// or once the directory names it.
+func (d *Dispatcher) SetServerLeaving(l LeavingServer) {
 	if d.hasSaidLeaving(l) {
-		return false
+		return
 	}
 	d.leaving[l] = struct{}{}
+	d.newlyLeaving = append(d.newlyLeaving, l)
 	if s := d.servers[l.Server]; s != nil && s.Incarnation == l.Incarnation {
 		s.Draining = true
 	}
-	return true
+}
+
+// NewlyLeaving returns the incarnations that were noted since the last call, by
+// SetServerLeaving or with an outcome.
+func (d *Dispatcher) NewlyLeaving() []LeavingServer {
+	l := d.newlyLeaving
+	d.newlyLeaving = nil
+	return l
 }
 
 // LeavingServers returns the known servers whose incarnation has said that it leaves, in no
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -25,6 +25,9 @@
 		f := newFixture(t, 2)
 		before := f.d.servers["s00"].failureProbability(f.now)
 		tell(f)
+		if l := f.d.NewlyLeaving(); len(l) != 1 || l[0].Server != "s00" {
+			t.Errorf("%s: newly leaving %v, want s00", name, l)
+		}
 		f.server(0, func(s *catalog.Server) { s.Sequence++ })
 		if f.d.usable(f.now, f.d.servers["s00"]) {
 			t.Errorf("%s: it is used", name)
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -183,6 +183,11 @@
 		old.close()
 		c.deliver(c.dispatcher.RemoveMember(now, session.peer.Address))
 	}
+	for _, l := range hello.GetServersLeaving() {
+		c.dispatcher.SetServerLeaving(leavingFromProto(l))
+	}
+	// Before the session is known, as its first message has to be the complete state.
+	c.announceLeaving()
 	session.lastSeen = now
 	c.sessions[session.peer.Address] = session
 	c.retriesUnread = c.retriesUnread || c.mayHaveFollowedAnother(session.peer.Address)
@@ -197,14 +202,12 @@
 	state.Term = c.dispatcher.Term()
 	if session.standby = c.isStandby(session.peer); session.standby {
 		state.Servers = c.fleet.replica.serversToProto(now)
+		state.ServersLeaving = leavingToProto(c.dispatcher.LeavingServers())
 	}
 	c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, false)
 	for _, l := range hello.GetLimits() {
 		c.setLimit(now, l)
 	}
-	for _, l := range hello.GetServersLeaving() {
-		c.setLeaving(l)
-	}
 	c.inheritAdmissions(now, session.peer.Address, hello)
 	for _, r := range hello.GetRunning() {
 		c.dispatcher.AdoptRunning(now, session.peer.Address, r.Server, int(r.Count))
@@ -260,6 +263,7 @@
 			Permit: d.Permit, Member: session.peer.Address, Server: d.Server, Fingerprint: d.Fingerprint,
 			Outcome: dispatch.Outcome(d.Outcome), Took: time.Duration(d.TookMs) * time.Millisecond, Bytes: int64(d.Bytes),
 		}))
+		c.announceLeaving()
 	case m.Withdraw != 0:
 		c.dispatcher.Withdraw(session.peer.Address, m.Withdraw)
 	case len(m.Config) > 0:
@@ -267,7 +271,8 @@
 	case m.Limit != nil:
 		c.setLimit(now, m.Limit)
 	case m.ServerLeaving != nil:
-		c.setLeaving(m.ServerLeaving)
+		c.dispatcher.SetServerLeaving(leavingFromProto(m.ServerLeaving))
+		c.announceLeaving()
 	case m.Leaving:
 		session.leaving = true
 		c.dispatcher.SetMember(session.peer.Address, session.peer.Domain, session.peer.Capacity, true)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -188,6 +188,7 @@
 		if err := m.fleet.replica.apply(c.State, time.Now()); err != nil {
 			return err
 		}
+		m.fleet.noteServersLeaving(c.State.ServersLeaving)
 	}
 	if c.Members > 0 {
 		m.fleet.mu.Lock()
@@ -312,9 +313,7 @@
 		AgeMs: uint32(min(now.Sub(m.startedAt).Milliseconds(), math.MaxUint32)),
 	}
 	if m.fleet.opts.Sender != nil {
-		for _, l := range m.fleet.opts.Sender.Leaving() {
-			h.ServersLeaving = append(h.ServersLeaving, &peerpb.LeavingServer{Server: l.Server, Incarnation: l.Incarnation})
-		}
+		h.ServersLeaving = leavingToProto(m.fleet.opts.Sender.Leaving())
 	}
 	for s, count := range m.running {
 		h.Running = append(h.Running, &peerpb.Running{Server: s, Count: count})
--- a/internal/fleet/serverlimit.go
+++ b/internal/fleet/serverlimit.go
@@ -6,9 +6,7 @@
 	"github.com/apex/log"
 
 	"trefoilstream.example/trefoilstream/internal/dialect"
-	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
-	"trefoilstream.example/trefoilstream/internal/sender"
 )
 
 // namedLimit is the rate limit that a backend server named to this instance.
@@ -22,20 +20,6 @@
 // new coordinator.
 const limitRetention = 30 * time.Second
 
-// noteResponse reports to the coordinator what a response says of its server.
-func (m *Member) noteResponse(j *sender.Job, r dialect.ServerResponse) {
-	m.noteLimit(j.Server, r)
-	if !r.Leaving {
-		return
-	}
-	m.mu.Lock()
-	toCoordinator := m.toCoordinator
-	m.mu.Unlock()
-	if toCoordinator != nil {
-		_ = toCoordinator.send(&peerpb.MemberMessage{ServerLeaving: &peerpb.LeavingServer{Server: j.Server, Incarnation: j.Incarnation}})
-	}
-}
-
 // noteLimit reports the rate limit that a response names to the coordinator, or that
 // a server no longer names one. Limits of servers that name none are not reported, and
 // the others each time, since only the coordinator knows when a server has restarted.
@@ -83,10 +67,3 @@
 		log.WithFields(log.Fields{"event": "server_limited", "server": l.Server, "rate": l.Rate}).Info("backend server named a rate limit")
 	}
 }
-
-// setLeaving applies that a server has told a member that it leaves. The caller holds mu.
-func (c *coordinator) setLeaving(l *peerpb.LeavingServer) {
-	if c.dispatcher.SetServerLeaving(dispatch.LeavingServer{Server: l.Server, Incarnation: l.Incarnation}) {
-		log.WithFields(log.Fields{"event": "server_leaves", "server": l.Server}).Info("backend server leaves and gets no further requests")
-	}
-}
--- a/internal/fleet/standby.go
+++ b/internal/fleet/standby.go
@@ -55,6 +55,7 @@
 		state := &peerpb.FleetState{ReplaceServers: true}
 		if session.standby {
 			state.Servers = c.fleet.replica.serversToProto(now)
+			state.ServersLeaving = leavingToProto(c.dispatcher.LeavingServers())
 		}
 		c.send(session, &peerpb.CoordinatorMessage{State: state})
 	}
--- a/internal/sender/leaving.go
+++ b/internal/sender/leaving.go
@@ -18,15 +18,16 @@
 // within seconds, at times many.
 const leavingRetention = 10 * time.Minute
 
-// leavingServers holds the servers that have told this instance that they leave. A server
-// that starts again under its ID is another incarnation.
+// leavingServers holds the servers that have told this instance, or another one as the
+// coordinator says, that they leave. A server that starts again under its ID is another
+// incarnation.
 type leavingServers struct {
 	mu      sync.Mutex
 	servers map[dispatch.LeavingServer]time.Time
 }
 
-// IsLeaving reports whether the job's server has told this instance that it leaves. This
-// instance sends it nothing more, whether or not it reaches the coordinator.
+// IsLeaving reports whether the job's server is known to leave. This instance sends it
+// nothing more, whether or not it reaches the coordinator.
 func (s *Sender) IsLeaving(j *Job) bool {
 	l := &s.leaving
 	l.mu.Lock()
@@ -37,15 +38,20 @@
 
 // NoteLeaving notes what a response says of its server's leaving.
 func (s *Sender) NoteLeaving(j *Job, r dialect.ServerResponse) {
-	if !r.Leaving {
-		return
+	if r.Leaving && s.SetLeaving(dispatch.LeavingServer{Server: j.Server, Incarnation: j.Incarnation}) {
+		log.WithFields(log.Fields{"event": "server_leaving", "server": j.Server, "request": j.RequestID}).Info("backend server says that it leaves")
 	}
+}
+
+// SetLeaving notes that a server has told an instance that it leaves. It reports whether
+// that is new.
+func (s *Sender) SetLeaving(key dispatch.LeavingServer) bool {
 	l := &s.leaving
-	now, key := time.Now(), dispatch.LeavingServer{Server: j.Server, Incarnation: j.Incarnation}
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, known := l.servers[key]; known {
-		return
+		return false
 	}
 	if l.servers == nil {
 		l.servers = make(map[dispatch.LeavingServer]time.Time)
@@ -56,7 +62,7 @@
 		}
 	}
 	l.servers[key] = now
-	log.WithFields(log.Fields{"event": "server_leaving", "server": j.Server, "request": j.RequestID}).Info("backend server says that it leaves")
+	return true
 }
 
 // NoteResponse is NoteLeaving for a response that another instance has passed on.
@@ -66,7 +72,7 @@
 	}
 }
 
-// Leaving returns the servers that have told this instance that they leave.
+// Leaving returns the servers that are known to leave.
 func (s *Sender) Leaving() []dispatch.LeavingServer {
 	l := &s.leaving
 	l.mu.Lock()
