ingress: requests that are refused while they are read have a line with their ID

With crowds at the door that is how most refusals come about.

Cause: such requests never reach the handler, which writes the lines. Now the server reports them with their header, if it arrived, and they count in the metrics and in the request log like others. They share its rate: at most 10 a second, so that a crowd leaves lines for requests that were read. Their cause is cut at the first quotation mark, as parsers quote what they read, and that may be a key.

While at it, with a test: dropped lines no longer use up the rate. The reserve for requests that were not served was none, since late ones that were dropped had taken it.

TestRefusalsWhileReadingAreReported, TestRefusalWhileReadingIsObserved and TestRequestLogKeepsLinesForRequestsThatWereRead are new.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,9 @@
 	Cause error
 	// Version is that of the configuration; 0 if none is loaded.
 	Version uint64
+	// RefusedUnread is set for a request that was refused while it was read. RequestID is empty
+	// if its head had not arrived.
+	RefusedUnread bool
 }
 
 // Handler implements ingress.Handler.
@@ -117,6 +121,21 @@
 	return catalog.Limits{}
 }
 
+// NoteRefusal notifies the observer of a request that was refused while it was read.
+func (h *Handler) NoteRefusal(r ingress.Refusal) {
+	e := errkind.From(r.Err)
+	// The errors of parsers quote the request, which may hold a key.
+	cause, _, _ := strings.Cut(e.Err.Error(), `"`)
+	s := Summary{
+		Kind: e.Kind, Outcome: e.EffectiveOutcome(), Status: errkind.Lookup(e.Kind).Status, Took: r.Took,
+		Cause: errors.New(cause), RefusedUnread: true,
+	}
+	if r.Header != nil {
+		s.RequestID = h.dialect.ReadCaller(r.Header).RequestID
+	}
+	h.observer.RequestEnded(s)
+}
+
 // request is the state of one request.
 type request struct {
 	h      *Handler
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -375,3 +376,25 @@
 		t.Errorf("a late request ended as %q (%d, %s), %d permits asked for; want stopping, 503, not_run, none", s.Kind, s.Status, s.Outcome, len(f.acquired))
 	}
 }
+
+// Guards against a refusal while a request is read that is logged without the request's ID, or
+// with what the request holds.
+func TestRefusalWhileReadingIsObserved(t *testing.T) {
+	o := &observer{}
+	h := New(&fakeFleet{index: index()}, plainDialect{}, o)
+	h.NoteRefusal(ingress.Refusal{
+		Header: http.Header{}, Err: errkind.Errorf(errkind.BadRequest, "malformed line: %q", "key secret"), Took: time.Second,
+	})
+	h.NoteRefusal(ingress.Refusal{Err: errkind.Errorf(errkind.InstanceFull, "memory is used up")})
+	if len(o.summaries) != 2 {
+		t.Fatalf("%d summaries, want 2", len(o.summaries))
+	}
+	bad, full := o.summaries[0], o.summaries[1]
+	if bad.RequestID != "id" || bad.Kind != errkind.BadRequest || bad.Outcome != errkind.NotRun || bad.Status != 400 || bad.Took != time.Second ||
+		strings.Contains(bad.Cause.Error(), "secret") || !bad.RefusedUnread {
+		t.Errorf("%+v", bad)
+	}
+	if full.RequestID != "" || full.Kind != errkind.InstanceFull || full.Cause.Error() != "memory is used up" {
+		t.Errorf("%+v", full)
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	raw    net.Conn
 	limit  *limitedReader
 	reader *bufio.Reader
+	// head is the header of the request that is being read, nil until it has been read.
+	head   http.Header
 	ctx    context.Context
 	cancel context.CancelFunc
 	// responses holds the responses in request order; the writer waits for
@@ -147,10 +150,12 @@
 		if !c.awaitRequest() || !c.beginRequest() {
 			return
 		}
-		limits := c.server.limits()
+		limits, start := c.server.limits(), time.Now()
 		c.setReading(true)
 		r, reqErr := c.readRequest(limits)
 		c.setReading(false)
+		refusal := Refusal{Header: c.head, Took: time.Since(start)}
+		c.head = nil
 		if c.isEvicted() {
 			r, reqErr = nil, instanceFull(errors.New("request was not received in time to hold its memory or connection any longer"))
 		}
@@ -165,6 +170,9 @@
 			w.last = true
 			w.refuse(reqErr)
 			close(w.done)
+			if refusal.Err = reqErr; c.server.OnRefused != nil {
+				c.server.OnRefused(refusal)
+			}
 			c.responses <- w
 			c.lingerAfterError()
 			return
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -322,3 +322,47 @@
 	}
 	close(release)
 }
+
+// Guards against requests that are refused while they are read and leave no trace: their IDs lead
+// to nothing.
+func TestRefusalsWhileReadingAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		id      string
+		kind    errkind.Kind
+	}{
+		"body too large":       {"POST / HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 2000000\r\n\r\n", "r1", errkind.BodyTooLarge},
+		"body above memory":    {"POST / HTTP/1.1\r\nHost: h\r\nId: r2\r\nContent-Length: 900000\r\n\r\n", "r2", errkind.InstanceFull},
+		"target without path":  {"OPTIONS * HTTP/1.1\r\nHost: h\r\nId: r3\r\n\r\n", "r3", errkind.BadRequest},
+		"caller disconnects":   {"POST / HTTP/1.1\r\nHost: h\r\nId: r4\r\nContent-Length: 10\r\n\r\n", "", ""},
+		"head without a colon": {"GET / HTTP/1.1\r\nHost: h\r\nId r5\r\n\r\n", "", errkind.BadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			s := NewServer(&handler{serve: echo, limits: catalog.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTimeout: time.Second}})
+			s.Memory = memory.NewAccount(memory.Limits{Total: 512 << 10, Large: 512 << 10}, nil)
+			refusals := make(chan Refusal, 2)
+			s.OnRefused = func(r Refusal) { refusals <- r }
+			go s.Serve(l)
+			conn, r := dial(t, l)
+			_, _ = io.WriteString(conn, c.request)
+			if c.kind == "" {
+				_ = conn.Close()
+				eventually(t, "the connection ends", func() bool { return s.Active() == 0 && s.Memory.Used() == 0 })
+				if len(refusals) > 0 {
+					t.Errorf("%+v", <-refusals)
+				}
+				return
+			}
+			readResponse(t, r)
+			got := <-refusals
+			if errkind.From(got.Err).Kind != c.kind || got.Header.Get("Id") != c.id || len(refusals) > 0 {
+				t.Errorf("%+v, and %d others; want %s of %q", got, len(refusals), c.kind, c.id)
+			}
+		})
+	}
+}
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -61,6 +61,9 @@
 	c.setReadDeadline(start.Add(l.HeaderTimeout))
 	c.limit.left = max(0, l.HeaderBytes-c.reader.Buffered()) + readAheadBytes
 	in, err := c.readHead()
+	if in != nil {
+		c.head = in.Header
+	}
 	if err != nil {
 		return nil, headError(err)
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,15 @@
 	Limits() catalog.Limits
 }
 
+// Refusal describes a request that was refused while it was read.
+type Refusal struct {
+	// Header is nil if the request was refused before the end of its head.
+	Header http.Header
+	Err    error
+	// Took is the time since the first byte of the request.
+	Took time.Duration
+}
+
 // Server accepts connections of callers.
 type Server struct {
 	handler Handler
@@ -45,6 +55,9 @@
 	Memory *memory.Account
 	// MaxConnections bounds the open connections, if it is set before Serve; 0 does not.
 	MaxConnections int
+	// OnRefused, if it is set before Serve, is called for each request that is refused while it
+	// is read. Such requests do not reach the handler.
+	OnRefused func(Refusal)
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -86,7 +86,7 @@
 	recorder := metrics.New()
 	handler := forward.New(f, a.Dialect, observers{requests, metricsObserver{recorder}})
 	server := ingress.NewServer(handler)
-	server.Memory, server.MaxConnections = account, maxConnections(descriptors(s))
+	server.Memory, server.MaxConnections, server.OnRefused = account, maxConnections(descriptors(s)), handler.NoteRefusal
 	go func() { _ = f.Serve(ctx, peers) }()
 	go f.Run(ctx)
 	go server.Serve(callers)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -61,3 +61,16 @@
 		t.Error("a request that was served counts as a dropped line")
 	}
 }
+
+// Guards against a crowd whose requests are refused while they are read, and whose lines leave
+// none for requests that were read.
+func TestRequestLogKeepsLinesForRequestsThatWereRead(t *testing.T) {
+	l := newRequestLog()
+	for range 1000 {
+		l.RequestEnded(forward.Summary{Kind: "instance_full", Status: 503, RefusedUnread: true})
+	}
+	l.RequestEnded(forward.Summary{RequestID: "r1", Kind: "overloaded", Status: 503})
+	if n := len(l.lines); n != linesPerSecond-lateReserve+1 {
+		t.Errorf("%d lines wait, want %d of the crowd and that of r1", n, linesPerSecond-lateReserve)
+	}
+}
--- a/internal/instance/requestlog.go
+++ b/internal/instance/requestlog.go
@@ -16,7 +16,7 @@
 	// linesPerSecond limits the log lines about requests that failed, were
 	// retried or late.
 	linesPerSecond = 20
-	// lateReserve is how many of these are kept for requests that were not served.
+	// lateReserve is how many of these are kept for requests that were read and not served.
 	lateReserve = 10
 	// lineQueueSize bounds the lines that wait to be written.
 	lineQueueSize = 64
@@ -73,7 +73,8 @@
 		return
 	}
 	left := l.remaining.Add(-1)
-	if left < 0 || left < lateReserve && s.Kind == "" && s.Status < 500 {
+	if left < 0 || left < lateReserve && (s.RefusedUnread || s.Kind == "" && s.Status < 500) {
+		l.remaining.Add(1)
 		l.dropped.Add(1)
 		return
 	}
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -107,7 +107,10 @@
 }
 
 // ownCauses are the kinds of refusal that callers cause themselves.
-var ownCauses = []string{"caller_left", "missing_key", "unknown_key", "no_route", "rate_limited", "invalid_request"}
+var ownCauses = []string{
+	"caller_left", "missing_key", "unknown_key", "no_route", "rate_limited", "invalid_request",
+	"bad_request", "body_too_large", "head_too_large", "request_timeout",
+}
 
 func effectOf(l *line) Effect {
 	f := &l.Fields
