entry: the bounds for callers on the own interface follow the machine

An operator who runs the own interface on a machine with less than 256 MB had no way to say so: heads were bounded by 32 MB and bodies by 64 MB whatever it had, and a crowd of bodies takes 151 MB of resident memory.

The older test has its crowd and its bound as before; only the message names the machine.

--- a/cmd/trefoilstreamd/main.go
+++ b/cmd/trefoilstreamd/main.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
 
 	"trefoilstream.example/trefoilstream/internal/logservice"
+	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/node"
 	"trefoilstream.example/trefoilstream/internal/settings"
 	"trefoilstream.example/trefoilstream/internal/standin"
@@ -34,6 +36,9 @@
 	}
 	log.SetHandler(jsonlog.New(os.Stderr))
 	log.SetLevelFromString(s.LogLevel)
+	if machine := s.MemoryBytes(); machine > 0 {
+		debug.SetMemoryLimit(memory.CollectorLimit(machine))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if s.Dev && s.LogURL == "" {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -20,10 +20,7 @@
 	// maxBufferedBytes is how much of a body on an idempotent route is
 	// buffered for retries. Longer bodies are streamed.
 	maxBufferedBytes = 1 << 20
-	// bodyMemoryBytes bounds the memory of all buffered bodies together: a
-	// quarter of the 256 MB of a small instance.
-	bodyMemoryBytes = 64 << 20
-	chunkBytes      = 32 << 10
+	chunkBytes       = 32 << 10
 )
 
 // Body is the body of a request.
@@ -60,8 +57,8 @@
 }
 
 // newBodyAccount returns the account of all buffered bodies.
-func newBodyAccount() *memory.Account {
-	return memory.NewAccount(memory.Limits{Total: bodyMemoryBytes, Large: bodyMemoryBytes / 4 * 3}, func(s memory.Shortage) {
+func newBodyAccount(machine int64) *memory.Account {
+	return memory.NewAccount(limitsOf(machine, bodyShare), func(s memory.Shortage) {
 		log.WithFields(log.Fields{
 			"event": "memory_short", "used": s.Used, "limit": s.Limits.Total, "evicted": s.Evicted, "refused": s.Refused,
 		}).Warn("memory for request bodies is used up")
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -26,7 +26,7 @@
 // than the body. The route is not idempotent, so the whole body is buffered.
 func TestLargeBodyIsServedInCalm(t *testing.T) {
 	f := newFixture(t)
-	const length = bodyMemoryBytes - 1<<20
+	const length = defaultMachineBytes/bodyShare - 1<<20
 	f.allowBodies(length)
 	body := strings.Repeat("b", length)
 	for _, framing := range []string{
@@ -43,8 +43,8 @@
 // Guards against a body that is awaited although there can never be memory for it.
 func TestBodyAboveTheBoundIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t)
-	f.allowBodies(2 * bodyMemoryBytes)
-	resp, text := f.raw(t, fmt.Sprintf("POST /berths HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n%sContent-Length: %d\r\n\r\n", auth, bodyMemoryBytes))
+	f.allowBodies(defaultMachineBytes)
+	resp, text := f.raw(t, fmt.Sprintf("POST /berths HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n%sContent-Length: %d\r\n\r\n", auth, defaultMachineBytes/bodyShare))
 	if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(text, string(errkind.InstanceFull)) || resp.Header.Get(headerPrefix+"Outcome") != string(errkind.NotRun) {
 		t.Errorf("%d %v %s", resp.StatusCode, resp.Header, text)
 	}
@@ -75,7 +75,7 @@
 			}
 			head := "PUT /slots/1 HTTP/1.1\r\nHost: a\r\n" + auth + "Content-Length: %d\r\n\r\n%s"
 			oldest, responses := f.dial(t)
-			for n := 0; n < 2*bodyMemoryBytes/1_000_000; n++ {
+			for n := range 2 * f.bodies.Limits().Total / 1_000_000 {
 				conn := oldest
 				if n > 0 {
 					conn, _ = f.dial(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,8 @@
 	Claims     Claims
 	Dispatcher Dispatcher
 	Observer   Observer
+	// MachineBytes is the memory of the machine; 0 means defaultMachineBytes.
+	MachineBytes int64
 
 	routes routeTable
 	// bodies counts the memory of buffered bodies.
@@ -77,7 +79,7 @@
 // Handler returns the HTTP handler for callers. It also serves /livez and
 // /readyz for the load balancer.
 func (e *Entry) Handler() http.Handler {
-	e.bodies = newBodyAccount()
+	e.bodies = newBodyAccount(e.MachineBytes)
 	srv := echo.New()
 	srv.HideBanner = true
 	srv.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
--- a/internal/entry/headconn.go
+++ b/internal/entry/headconn.go
@@ -9,10 +9,6 @@
 	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
-// headMemoryBytes bounds the memory of the heads of all requests together: an eighth of the
-// 256 MB of a small instance.
-const headMemoryBytes = 32 << 20
-
 // headListener accepts connections whose heads count toward an account.
 type headListener struct {
 	net.Listener
--- a/internal/entry/headconn_test.go
+++ b/internal/entry/headconn_test.go
@@ -50,13 +50,13 @@
 		c, _ := f.dial(t)
 		_, _ = io.WriteString(c, "GET /open/x HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 14_000))
 	}
-	f.awaitHeads(t, "heads fill the account", func(used int64) bool { return used > headMemoryBytes/2 })
+	f.awaitHeads(t, "heads fill the account", func(used int64) bool { return used > defaultMachineBytes/headShare/2 })
 	c, r := f.dial(t)
 	_, _ = io.WriteString(c, openRequest)
 	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("%v, %v beside %d stalled heads", resp, err, heads)
 	}
-	if used := f.server.heads.Used(); used > headMemoryBytes {
-		t.Errorf("%d bytes are counted, at most %d may be", used, headMemoryBytes)
+	if used := f.server.heads.Used(); used > defaultMachineBytes/headShare {
+		t.Errorf("%d bytes are counted, at most %d may be", used, defaultMachineBytes/headShare)
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -49,11 +49,12 @@
 	since time.Time
 }
 
-// NewServer returns a server that does not listen yet.
-func NewServer(h http.Handler) *Server {
+// NewServer returns a server that does not listen yet, on a machine with a number of bytes of
+// memory; 0 means defaultMachineBytes.
+func NewServer(h http.Handler, machine int64) *Server {
 	s := &Server{
 		conns: make(map[net.Conn]connState), IdleGrace: DefaultIdleGrace,
-		heads: memory.NewAccount(memory.Limits{Total: headMemoryBytes, Large: headMemoryBytes / 4 * 3}, nil),
+		heads: memory.NewAccount(limitsOf(machine, headShare), nil),
 	}
 	s.http = http.Server{
 		Handler: endHead(h), ConnContext: withHeadConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,7 @@
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.budgets.run(work) })
 	group.Go(func() error { return n.claims.run(work) })
-	srv := entry.NewServer(n.callerHandler())
+	srv := entry.NewServer(n.callerHandler(), n.settings.MemoryBytes())
 	group.Go(func() error {
 		if err := srv.Serve(callerListener); err != nil {
 			return fmt.Errorf("caller listener: %w", err)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -48,6 +48,7 @@
 	}
 	e := &entry.Entry{
 		State: n.state, Admission: admission, Claims: n.claims, Dispatcher: forwarder, Observer: n.metrics,
+		MachineBytes: n.settings.MemoryBytes(),
 	}
 	return e.Handler()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,8 @@
 	AdminCertificate, AdminKey string
 	// LogRetention is how long the log service keeps records.
 	LogRetention time.Duration
+	// Memory is that of the machine, in MB; empty means that of a small instance.
+	Memory string
 }
 
 // The values of Settings.Ejection.
@@ -120,6 +122,7 @@
 		{"admin-certificate", "PEM text of the certificate of the administration API", &s.AdminCertificate},
 		{"admin-key", "PEM text of that certificate's key", &s.AdminKey},
 		{"log-retention", "how long the log service keeps records", &s.LogRetention},
+		{"memory-mb", "memory of the machine that the instance may use, in MB; by default 268", &s.Memory},
 		{"ejection", "who takes failing backend servers out: arbiter, or as baselines for measurements local (each owner alone) or none", &s.Ejection},
 		{"rates", "how teams' rates are kept: shared by all instances, or as a baseline for measurements static (1/N for each)", &s.Rates},
 		{"dev", "run one instance with an embedded log service", &s.Dev},
@@ -215,6 +218,9 @@
 	}
 	s.checkPeers(addErr)
 	s.checkAdmin(addErr)
+	if s.Memory != "" && parseAmount(s.Memory) == 0 {
+		addErr("memory-mb", "%q is not a positive number", s.Memory)
+	}
 	if s.DrainWait < 0 {
 		addErr("drain-wait", "must not be negative")
 	}
@@ -268,6 +274,9 @@
 	}
 }
 
+// MemoryBytes returns the memory of the machine, or 0 if it is not set.
+func (s *Settings) MemoryBytes() int64 { return int64(parseAmount(s.Memory) * 1e6) }
+
 // AdminTLS returns the TLS configuration of the administration API, or nil for
 // plain TCP on loopback.
 func (s *Settings) AdminTLS() (*tls.Config, error) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,12 +12,13 @@
 		"TREFOILSTREAM_DRAIN_WAIT":  "-1s",
 		"TREFOILSTREAM_LOG_URL":     "ftp://example",
 		"TREFOILSTREAM_PEER_LISTEN": "192.0.2.1:8081",
+		"TREFOILSTREAM_MEMORY_MB":   "much",
 	}
 	_, err := Parse([]string{"--listen", "nowhere"}, func(k string) string { return env[k] })
 	if err == nil {
 		t.Fatal("invalid settings were accepted")
 	}
-	for _, flag := range []string{"instance-id", "failure-domain", "region", "listen", "log-url", "instances-url", "drain-wait", "peer-listen"} {
+	for _, flag := range []string{"instance-id", "failure-domain", "region", "listen", "log-url", "instances-url", "drain-wait", "peer-listen", "memory-mb"} {
 		if !strings.Contains(err.Error(), "--"+flag+" (") {
 			t.Errorf("error of --%s is missing in:\n%v", flag, err)
 		}
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -38,15 +38,16 @@
 
 // startCrowdedInstance starts an instance of the own interface with a document, whose %x is the
 // digest of a key and whose %s is the address of a backend server, and returns it with its
-// address for callers.
-func startCrowdedInstance(t *testing.T, document string) (daemon *exec.Cmd, callers string) {
+// address for callers. The flags are added to its usual ones.
+func startCrowdedInstance(t *testing.T, document string, flags ...string) (daemon *exec.Cmd, callers string) {
 	t.Helper()
 	logAddress, server, callers := freeAddress(t), freeAddress(t), freeAddress(t)
 	start(t, "trefoilstandin", "log", "--listen", logAddress)
 	start(t, "trefoilstandin", "backend", "--listen", server, "--id", "lookup-1")
 	logURL := "http://" + logAddress
-	daemon = start(t, "trefoilstreamd", "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
+	flags = append(flags, "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
 		"--peer-listen", freeAddress(t), "--admin-listen", freeAddress(t), "--log-url", logURL, "--instances-url", logURL)
+	daemon = start(t, "trefoilstreamd", flags...)
 	eventually(t, 5*time.Second, "log service is up", func() bool {
 		status, _ := get(logAddress, "/v1/records?after=0", "")
 		return status == http.StatusOK
@@ -60,7 +61,14 @@
 
 // Guards against a process of the own interface that exceeds its memory since clients send
 // much and keep the end of their requests back. See platform/crowd_test.go.
-func TestCrowdOfUnfinishedRequests(t *testing.T) {
+func TestCrowdOfUnfinishedRequests(t *testing.T) { testCrowdOfUnfinishedRequests(t, smallMemoryBytes) }
+
+// As above, on a machine with half of the memory.
+func TestCrowdOnAMachineWithLessMemory(t *testing.T) {
+	testCrowdOfUnfinishedRequests(t, smallMemoryBytes/2, "--memory-mb", strconv.Itoa(smallMemoryBytes/2/1_000_000))
+}
+
+func testCrowdOfUnfinishedRequests(t *testing.T, machineBytes int, flags ...string) {
 	for _, c := range []struct {
 		name    string
 		clients int
@@ -71,7 +79,7 @@
 		{"body without its last byte", 400, "POST /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("b", 999_999)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			daemon, callers := startCrowdedInstance(t, crowdDocument)
+			daemon, callers := startCrowdedInstance(t, crowdDocument, flags...)
 			ordinary := func() bool {
 				status, _ := get(callers, "/slots/1", "secret")
 				return status == http.StatusOK
@@ -104,8 +112,8 @@
 			}
 			peak := memoryPeak(daemon.Process.Pid)
 			t.Logf("%d MB at its peak", peak/1e6)
-			if peak == 0 || peak > smallMemoryBytes {
-				t.Errorf("the instance had %d MB at its peak, a small one has %d MB; 0 if it has ended", peak/1e6, smallMemoryBytes/1_000_000)
+			if peak == 0 || peak > machineBytes {
+				t.Errorf("the instance had %d MB at its peak, its machine has %d MB; 0 if it has ended", peak/1e6, machineBytes/1_000_000)
 			}
 		})
 	}
