owner: a server is not blamed for uploads that callers stall or cut off

On the own interface, clients that stop sending in the middle of a body, or leave, made a sound server count as failing, which takes it out of service as far as the floor lets it: 'server_failing, 3 of 4 recent requests failed' while TestStalledBodiesGiveWay ran. Healthy capacity is to stay.

Cause: a body that ends early fails the request to the server, and the owner took that for the server's failure. And a request counted as stalled for as long as no response came, although the server waited for the rest of the body.

Now the outcome of a request whose body was cut off says nothing about the server (request_timeout with the outcome unknown, if anybody is left to hear it), and the stall detection does not run while the caller has to send. A server that does not read a body is detected as before.

Only suspected: slow uploads that are completed still count toward the latency of the server.

--- a/internal/health/inflight.go
+++ b/internal/health/inflight.go
@@ -32,6 +32,8 @@
 	waitingSince time.Time
 	// stalledAt is when the request was last counted as stalled; zero if never.
 	stalledAt time.Time
+	// awaitsBody is set while the caller has to send more of the body.
+	awaitsBody bool
 	cold      bool
 }
 
@@ -68,6 +70,22 @@
 	}
 }
 
+// AwaitBody records whether the request waits for its caller to send more of the body. A request
+// that does has not stalled, even if a part of the response has arrived.
+func (d *OutlierDetector) AwaitBody(now time.Time, id uint64, waits bool) {
+	f := d.inFlight[id]
+	if f == nil {
+		return
+	}
+	f.awaitsBody = waits
+	if !waits && !f.waitingSince.IsZero() {
+		f.waitingSince = now
+	}
+}
+
+// awaitsServer reports whether the request waits for the server.
+func (f *inFlightRequest) awaitsServer() bool { return !f.waitingSince.IsZero() && !f.awaitsBody }
+
 // stallDeadline returns when a request next counts as stalled. It counts once
 // for its own wait, and again for each further period in which the server sent
 // nothing on any request, so that a server with one slot is detected too.
@@ -86,7 +104,7 @@
 func (d *OutlierDetector) Check(now time.Time) {
 	var stalled []uint64
 	for id, f := range d.inFlight {
-		if !f.waitingSince.IsZero() && !d.stallDeadline(f).After(now) {
+		if f.awaitsServer() && !d.stallDeadline(f).After(now) {
 			stalled = append(stalled, id)
 		}
 	}
@@ -105,7 +123,7 @@
 func (d *OutlierDetector) Wake() time.Time {
 	var at time.Time
 	for _, f := range d.inFlight {
-		if f.waitingSince.IsZero() {
+		if !f.awaitsServer() {
 			continue
 		}
 		if deadline := d.stallDeadline(f); at.IsZero() || deadline.Before(at) {
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +53,7 @@
 	}
 	started := time.Now()
 	x.t.begin()
+	x.body.await = x.t.awaitBody
 	resp, err := x.o.backend.Do(ctx, request)
 	latency := time.Since(started)
 	if err != nil {
@@ -117,6 +119,10 @@
 // attempt.
 func (x *call) failed(ctx context.Context, err error, latency time.Duration) error {
 	end, refusal := classify(ctx, err)
+	if x.body.cut.Load() && !end.notSent && ctx.Err() == nil {
+		end, refusal = outcome{slot: slots.Aborted, health: health.Ignored}, errkind.Errorf(errkind.RequestTimeout, "%w", err)
+		refusal.Outcome = errkind.Unknown
+	}
 	end.latency = latency
 	fp := fingerprint(x.head)
 	if end.health == health.Dropped {
@@ -191,7 +197,11 @@
 		x.t.end(outcome{slot: slots.Aborted, health: health.Ignored})
 		return errkind.Errorf(errkind.DeadlineExceeded, "server %s: response ended early: %w", x.srv.ID, err)
 	}
-	x.t.end(outcome{slot: slots.Aborted, health: health.Failure})
+	end := outcome{slot: slots.Aborted, health: health.Failure}
+	if x.body.cut.Load() {
+		end.health = health.Ignored
+	}
+	x.t.end(end)
 	return errkind.Errorf(errkind.BackendFailed, "server %s: response ended early: %w", x.srv.ID, err)
 }
 
@@ -235,6 +245,10 @@
 	ended  bool
 	// drained is set once the rest of the body is to be discarded.
 	drained bool
+	// await, if it is not nil, is called with true before a frame is awaited, and with false after.
+	await func(waits bool)
+	// cut is set if the body ended before it was complete, which is no fault of the server.
+	cut atomic.Bool
 }
 
 // Read implements io.Reader. An end of the stream without an end frame is an
@@ -249,7 +263,8 @@
 		if r.ended {
 			return 0, io.EOF
 		}
-		if err := r.next(); err != nil {
+		if err := r.awaitNext(); err != nil {
+			r.cut.Store(true)
 			return 0, fmt.Errorf("request body: %w", io.ErrUnexpectedEOF)
 		}
 	}
@@ -258,6 +273,14 @@
 	return n, nil
 }
 
+func (r *bodyReader) awaitNext() error {
+	if r.await != nil {
+		r.await(true)
+		defer r.await(false)
+	}
+	return r.next()
+}
+
 func (r *bodyReader) next() error {
 	frame, err := r.stream.Recv()
 	if err != nil {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -436,3 +436,67 @@
 	return newServer(time.Now(), document.Server{ID: "server-000123", Service: "registration", Slots: 4},
 		slots.Config{Slots: 4, ColdSlots: 1, RampStep: 10}, slots.State{}, &serviceBaselines{latencies: health.NewLatencyBaselines()}, func() {})
 }
+
+// Guards against a sound server that counts as failing, and is ejected, since callers end their
+// uploads midway.
+func TestUnfinishedUploadsAreNoFailuresOfTheServer(t *testing.T) {
+	f := newFleet(t, 4, serve(t, ok), serve(t, ok))
+	for i := range 30 {
+		s := &fakeStream{ctx: t.Context(), frames: []*peerpb.ExecuteFrame{
+			{Head: &peerpb.ExecuteHead{Server: "s1", Team: "a", Route: "b", Method: "POST", Uri: fmt.Sprintf("/u/%d", i), Host: "h",
+				KeyDigest: digest("a"), ExecutionId: "x", DeadlineMs: 5000, ContentLength: 100}},
+			{Body: []byte("a part")},
+		}}
+		_ = f.o.Serve(s)
+		if r := s.got.refusal; r == nil || r.NotRun {
+			t.Errorf("refusal %+v, want one that does not say that the request has not run", r)
+		}
+	}
+	if e := f.event("server_failing", ""); e != nil {
+		t.Errorf("%v", e.Fields)
+	}
+	if r := f.get("s1", "a", "/"); r.status != 200 {
+		t.Errorf("the next request: %+v", r)
+	}
+}
+
+// stalledStream is an entry whose caller stops sending in the middle of a body.
+type stalledStream struct {
+	*fakeStream
+	stalled chan struct{}
+}
+
+func (s *stalledStream) Recv() (*peerpb.ExecuteFrame, error) {
+	if len(s.frames) == 0 {
+		select {
+		case <-s.stalled:
+		case <-s.ctx.Done():
+		}
+	}
+	return s.fakeStream.Recv()
+}
+
+// Guards against a sound server that counts as failing, and is ejected, since it waits for callers
+// who have stopped sending.
+func TestStalledUploadsAreNoFailuresOfTheServer(t *testing.T) {
+	f := newFleet(t, 4, serve(t, ok), serve(t, ok))
+	stop := f.load(50, "s1", "s2")
+	time.Sleep(500 * time.Millisecond) // until s1 is warm, and the usual latency is known
+	stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	var uploads sync.WaitGroup
+	for i := range 3 {
+		s := &stalledStream{stalled: make(chan struct{}), fakeStream: &fakeStream{ctx: ctx, frames: []*peerpb.ExecuteFrame{
+			{Head: &peerpb.ExecuteHead{Server: "s1", Team: "a", Route: "b", Method: "POST", Uri: fmt.Sprintf("/u/%d", i), Host: "h",
+				KeyDigest: digest("a"), ExecutionId: "x", DeadlineMs: 10_000, ContentLength: 100}},
+			{Body: []byte("a part")},
+		}}}
+		uploads.Go(func() { _ = f.o.Serve(s) })
+	}
+	time.Sleep(5 * time.Second)
+	cancel()
+	uploads.Wait()
+	if e := f.event("server_failing", ""); e != nil {
+		t.Errorf("%v", e.Fields)
+	}
+}
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -194,6 +194,13 @@
 	r.s.detector.Pause(r.id)
 }
 
+// awaitBody records whether the request waits for more of its body.
+func (r *reservation) awaitBody(waits bool) {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.detector.AwaitBody(time.Now(), r.id, waits)
+}
+
 // end releases the slot and passes the outcome to the outlier detector.
 func (r *reservation) end(x outcome) {
 	now := time.Now()
