--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -154,7 +154,7 @@
 		c.setReading(true)
 		r, reqErr := c.readRequest(limits)
 		c.setReading(false)
-		refusal := Refusal{Header: c.head, Took: time.Since(start)}
+		head := c.head
 		c.head = nil
 		if c.isEvicted() {
 			r, reqErr = nil, instanceFull(errors.New("request was not received in time to hold its memory or connection any longer"))
@@ -170,8 +170,8 @@
 			w.last = true
 			w.refuse(reqErr)
 			close(w.done)
-			if refusal.Err = reqErr; c.server.OnRefused != nil {
-				c.server.OnRefused(refusal)
+			if c.server.OnRefused != nil {
+				c.server.OnRefused(Refusal{Header: head, Err: reqErr, Took: time.Since(start)})
 			}
 			c.responses <- w
 			c.lingerAfterError()
