--- a/internal/health/inflight.go
+++ b/internal/health/inflight.go
@@ -34,7 +34,7 @@
 	stalledAt time.Time
 	// awaitsBody is set while the caller has to send more of the body.
 	awaitsBody bool
-	cold      bool
+	cold       bool
 }
 
 // stallLimit is the wait after which the request counts as stalled.
