entry: connections that have no request make room on the own interface

Ordinary callers got no answer while a crowd kept its connections: 400 clients that had each been served once left an instance with 256 descriptors without any, and it accepted nobody for as long as they stayed (90 s). Clients that send nothing, or half a head, had the same effect for 10 s.

Cause: the HTTP server accepts as long as there are descriptors, and waits when there are none; nothing made room, and nothing was kept for backend servers and other instances.

Now callers may have three quarters of the descriptors of the process, as on the platform (the computation moved to package sockopt). When those are used up, or none is left at all, the connection is closed that has had no request for longest. No client meets this while there are descriptors.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -109,7 +109,7 @@
 		t.Fatal(err)
 	}
 	f.address = l.Addr().String()
-	f.server = NewServer(f.Handler(), 0)
+	f.server = NewServer(f.Handler(), 0, 0)
 	go func() { _ = f.server.Serve(l) }()
 	t.Cleanup(func() { _ = f.server.http.Close() })
 	return f
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -37,6 +37,8 @@
 	IdleGrace time.Duration
 	// heads counts the memory of the heads of requests.
 	heads *memory.Account
+	// maxConns bounds the open connections; 0 does not.
+	maxConns int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -50,11 +52,11 @@
 }
 
 // NewServer returns a server that does not listen yet, on a machine with a number of bytes of
-// memory; 0 means defaultMachineBytes.
-func NewServer(h http.Handler, machine int64) *Server {
+// memory; 0 means defaultMachineBytes. It keeps up to maxConns connections open; 0 sets no limit.
+func NewServer(h http.Handler, machine int64, maxConns int) *Server {
 	s := &Server{
 		conns: make(map[net.Conn]connState), IdleGrace: DefaultIdleGrace,
-		heads: memory.NewAccount(limitsOf(machine, headShare), nil),
+		heads: memory.NewAccount(limitsOf(machine, headShare), nil), maxConns: maxConns,
 	}
 	s.http = http.Server{
 		Handler: endHead(h), ConnContext: withHeadConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
@@ -68,7 +70,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	err := s.http.Serve(headListener{l, s.heads})
+	err := s.http.Serve(&boundedListener{Listener: headListener{l, s.heads}, server: s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || errors.Is(err, http.ErrServerClosed) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -86,7 +86,8 @@
 	recorder := metrics.New()
 	handler := forward.New(f, a.Dialect, observers{requests, metricsObserver{recorder}})
 	server := ingress.NewServer(handler)
-	server.Memory, server.MaxConnections, server.OnRefused = account, maxConnections(descriptors(s)), handler.NoteRefusal
+	server.Memory, server.OnRefused = account, handler.NoteRefusal
+	server.MaxConnections = sockopt.CallerConnections(sockopt.Descriptors(s.DescriptorCount()))
 	go func() { _ = f.Serve(ctx, peers) }()
 	go f.Run(ctx)
 	go server.Serve(callers)
--- a/internal/instance/resources_test.go
+++ b/internal/instance/resources_test.go
@@ -6,12 +6,13 @@
 
 	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/settings"
+	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
 
 // Guards against an instance that takes itself for larger than its machine, or that serves
 // nobody, since its settings name no limits or absurd ones.
 func TestResourcesAreThoseOfTheSettingsAndTheSystem(t *testing.T) {
-	system, limit := memoryBytes(&settings.Instance{}), descriptors(&settings.Instance{})
+	system, limit := memoryBytes(&settings.Instance{}), sockopt.Descriptors(0)
 	var process syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &process); err != nil {
 		t.Fatal(err)
@@ -32,12 +33,12 @@
 		{"1e300", "lots", system, limit},
 	} {
 		s := &settings.Instance{Memory: c.memory, Descriptors: c.descriptors}
-		if m, d := memoryBytes(s), descriptors(s); m != c.wantMemory || d != c.wantDescriptors {
+		if m, d := memoryBytes(s), sockopt.Descriptors(s.DescriptorCount()); m != c.wantMemory || d != c.wantDescriptors {
 			t.Errorf("%q, %q: %d bytes, %d descriptors; want %d, %d", c.memory, c.descriptors, m, d, c.wantMemory, c.wantDescriptors)
 		}
 		l := memory.LimitsOf(memoryBytes(s))
-		if l.Total <= 0 || l.Large <= 0 || l.Large > l.Total || maxConnections(descriptors(s)) < 1 {
-			t.Errorf("%q, %q: limits %+v, %d connections", c.memory, c.descriptors, l, maxConnections(descriptors(s)))
+		if l.Total <= 0 || l.Large <= 0 || l.Large > l.Total || sockopt.CallerConnections(sockopt.Descriptors(s.DescriptorCount())) < 1 {
+			t.Errorf("%q, %q: limits %+v, %d connections", c.memory, c.descriptors, l, sockopt.CallerConnections(sockopt.Descriptors(s.DescriptorCount())))
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"trefoilstream.example/trefoilstream/internal/rights"
 	"trefoilstream.example/trefoilstream/internal/roster"
 	"trefoilstream.example/trefoilstream/internal/settings"
+	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
 
 // Node is one instance of the fleet.
@@ -98,7 +99,8 @@
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.budgets.run(work) })
 	group.Go(func() error { return n.claims.run(work) })
-	srv := entry.NewServer(n.callerHandler(), n.settings.MemoryBytes())
+	maxConnections := sockopt.CallerConnections(sockopt.Descriptors(0))
+	srv := entry.NewServer(n.callerHandler(), n.settings.MemoryBytes(), maxConnections)
 	group.Go(func() error {
 		if err := srv.Serve(callerListener); err != nil {
 			return fmt.Errorf("caller listener: %w", err)
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -49,7 +49,18 @@
 // start runs a program until the test ends.
 func start(t *testing.T, program string, args ...string) *exec.Cmd {
 	t.Helper()
-	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	return startCommand(t, program, exec.Command(filepath.Join(binaries, program), args...))
+}
+
+// startLimited runs a program that may have so many descriptors open until the test ends.
+func startLimited(t *testing.T, descriptors int, program string, args ...string) *exec.Cmd {
+	t.Helper()
+	limit := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	return startCommand(t, program, exec.Command("/bin/sh", append([]string{"-c", limit, filepath.Join(binaries, program)}, args...)...))
+}
+
+func startCommand(t *testing.T, program string, cmd *exec.Cmd) *exec.Cmd {
+	t.Helper()
 	out, err := os.Create(filepath.Join(t.TempDir(), program+".log"))
 	if err != nil {
 		t.Fatal(err)
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"crypto/sha256"
 	"fmt"
 	"io"
@@ -21,6 +22,8 @@
 	smallMemoryBytes = 256_000_000
 	// callerHeadBytes is below the limit of the own interface's HTTP server.
 	callerHeadBytes = 60 << 10
+	// manyDescriptors are more than any crowd of these tests needs.
+	manyDescriptors = 4096
 )
 
 // memoryPeak returns the highest resident memory of a process so far, in bytes, or 0 if it has
@@ -38,8 +41,8 @@
 
 // startCrowdedInstance starts an instance of the own interface with a document, whose %x is the
 // digest of a key and whose %s is the address of a backend server, and returns it with its
-// address for callers. The flags are added to its usual ones.
-func startCrowdedInstance(t *testing.T, document string, flags ...string) (daemon *exec.Cmd, callers string) {
+// address for callers. It may have so many descriptors open; the flags are added to its usual ones.
+func startCrowdedInstance(t *testing.T, descriptors int, document string, flags ...string) (daemon *exec.Cmd, callers string) {
 	t.Helper()
 	logAddress, server, callers := freeAddress(t), freeAddress(t), freeAddress(t)
 	start(t, "trefoilstandin", "log", "--listen", logAddress)
@@ -47,7 +50,7 @@
 	logURL := "http://" + logAddress
 	flags = append(flags, "--instance-id", "i-0", "--failure-domain", "astoria", "--region", "lower-columbia", "--listen", callers,
 		"--peer-listen", freeAddress(t), "--admin-listen", freeAddress(t), "--log-url", logURL, "--instances-url", logURL)
-	daemon = start(t, "trefoilstreamd", flags...)
+	daemon = startLimited(t, descriptors, "trefoilstreamd", flags...)
 	eventually(t, 5*time.Second, "log service is up", func() bool {
 		status, _ := get(logAddress, "/v1/records?after=0", "")
 		return status == http.StatusOK
@@ -79,7 +82,7 @@
 		{"body without its last byte", 400, "POST /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("b", 999_999)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			daemon, callers := startCrowdedInstance(t, crowdDocument, flags...)
+			daemon, callers := startCrowdedInstance(t, manyDescriptors, crowdDocument, flags...)
 			ordinary := func() bool {
 				status, _ := get(callers, "/slots/1", "secret")
 				return status == http.StatusOK
@@ -148,7 +151,7 @@
 		}, 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			daemon, callers := startCrowdedInstance(t, fmt.Sprintf(stalledDocument, c.coldSlots))
+			daemon, callers := startCrowdedInstance(t, manyDescriptors, fmt.Sprintf(stalledDocument, c.coldSlots))
 			served := func(bytes int) func() bool {
 				return func() bool { return post(callers, "/slots/1", "secret", bytes) == http.StatusOK }
 			}
@@ -175,6 +178,63 @@
 	}
 }
 
+// Guards against callers that take all descriptors of an instance of the own interface and keep
+// them, so that it accepts nobody else and reaches no server.
+func TestCrowdOfConnections(t *testing.T) {
+	const descriptors, clients = 256, 400
+	for _, c := range []struct {
+		name, request string
+		answered      bool
+	}{
+		{name: "nothing is sent"},
+		{name: "half a head is sent", request: "GET /slots/1 HTTP/1.1\r\nHo"},
+		{name: "one request is sent and answered", request: "GET /slots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n\r\n", answered: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			daemon, callers := startCrowdedInstance(t, descriptors, crowdDocument)
+			ordinary := func() bool { return post(callers, "/slots/1", "secret", 1000) == http.StatusOK }
+			eventually(t, 10*time.Second, "request is served", ordinary)
+			for range 2 {
+				conns := openConnections(callers, clients, c.request, c.answered)
+				eventually(t, 20*time.Second, "an ordinary request is served beside the crowd", ordinary)
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+				eventually(t, 20*time.Second, "an ordinary request is served after the crowd has left", ordinary)
+			}
+			if memoryPeak(daemon.Process.Pid) == 0 {
+				t.Error("the instance has ended")
+			}
+		})
+	}
+}
+
+// openConnections opens connections, each of which sends a text and, if it is to be answered, waits for
+// the head of a response.
+func openConnections(address string, clients int, text string, answered bool) []net.Conn {
+	var mu sync.Mutex
+	var conns []net.Conn
+	var crowd sync.WaitGroup
+	for range clients {
+		crowd.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			_, _ = io.WriteString(conn, text)
+			if answered {
+				_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+		})
+	}
+	crowd.Wait()
+	return conns
+}
+
 // stalledBodies are clients that send a part of the bodies that they announce, in bytes.
 type stalledBodies struct{ clients, announced, sent int }
 
