ingress: a connection is closed only when its caller has received its responses

Callers that paused before they read lost the rest of a response that their backend server had completed: of 500,000 bytes about 100,000 arrived, then a reset.

Cause: a write that returns has handed its bytes to the kernel, and the server took that for the end of the request. It closed the connection (after the last response, when it counted as idle, when room was needed), did not count the request any more, and let the process exit. What the caller sends to a closed connection is answered with a reset, and the kernel discards what it has not sent. The 500 ms of lingerTimeout did not help: the deadline was set, but nobody read, and the close came at once.

Now the caller's acknowledgements decide (SIOCOUTQ, package delivery). After the last response the write side is closed, what the caller sends is discarded, and the connection ends when everything is acknowledged and the caller has closed its side, or has had 500 ms for that. A caller that takes less than 32 KiB in 30 s is reset, as while a response is written. Active counts responses until they are acknowledged, idle connections are those whose caller has everything, their idle time begins then, and the process exits when no connection is left or the grace period ends. An idle connection is still closed at once, without reading a request that crosses the close: it has not run, and its caller may send it elsewhere. When room is needed, a connection whose caller has taken nothing for 1 s gives way as one with a stalled write does.

TestCallersThatLeaveUnreadAreLetGo passed before and guards against the opposite.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -37,15 +37,22 @@
 	lastRead atomic.Int64
 	// writeStart is when a write to the caller began, in Unix nanoseconds; 0 if none is under way.
 	writeStart atomic.Int64
+	// written is how many bytes were handed to the kernel.
+	written atomic.Int64
 
 	mu sync.Mutex
+	// untaken holds the responses that the caller may not have received.
+	untaken untaken
 	// pending counts the requests that are being read or await a response.
 	pending int
 	// served counts the requests that have ended.
 	served    int
 	idleSince time.Time
 	closed    bool
-	finished  bool
+	// finished is set once no further request is read.
+	finished bool
+	// callerClosed is set once the caller has closed its side.
+	callerClosed bool
 	// isReading is set while a request is being read.
 	isReading bool
 	// evicted is set if the request that is being read has to give way.
@@ -72,7 +79,7 @@
 		responses: make(chan *Response, maxPipelined), idleSince: time.Now(),
 	}
 	l.arrived = &c.lastRead
-	c.idle, c.reading = s.Memory.NewHolder(c.closeIfIdle), s.Memory.NewHolder(func() bool { return c.evictRequest(false) })
+	c.idle, c.reading = s.Memory.NewHolder(func() bool { return c.closeIfIdle() || c.closeIfStalled() }), s.Memory.NewHolder(func() bool { return c.evictRequest(false) })
 	c.serving, c.output = s.Memory.NewHolder(nil), s.Memory.NewHolder(c.closeIfStalled)
 	return c
 }
@@ -95,7 +102,7 @@
 	close(c.responses)
 	<-written
 	c.cancel()
-	c.close()
+	c.finish()
 }
 
 func (c *conn) close() {
@@ -137,6 +144,10 @@
 	c.served++
 	c.server.active.Add(-1)
 	c.idleSince = time.Now()
+	c.untaken.add(c.written.Load())
+	if len(c.untaken.ends) >= maxPipelined {
+		c.settle(c.idleSince)
+	}
 	if c.pending == 0 {
 		c.idle.Moved(c.idleSince)
 		c.idle.SetEvictable(true)
@@ -159,6 +170,10 @@
 		if c.isEvicted() {
 			r, reqErr = nil, instanceFull(errors.New("request was not received in time to hold its memory or connection any longer"))
 		}
+		if c.isFinished() {
+			// A response before this request has ended the connection.
+			r, reqErr = nil, nil
+		}
 		if reqErr == nil && r == nil {
 			c.endRequest()
 			c.cancel()
@@ -174,7 +189,6 @@
 				c.server.OnRefused(Refusal{Header: head, Err: reqErr, Took: time.Since(start)})
 			}
 			c.responses <- w
-			c.lingerAfterError()
 			return
 		}
 		last := r.closeAfter || c.server.draining.Load()
@@ -196,24 +210,23 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
-// caller disconnects, or if the connection is idle for too long.
+// caller disconnects, if the connection is idle for too long, or after the last response.
 func (c *conn) awaitRequest() bool {
 	for {
 		idle := c.server.limits().IdleTimeout
-		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
+		if !c.setIdleDeadline(time.Now().Add(idle)) {
+			return false
+		}
 		c.limit.left = unlimited
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.cancel()
+			c.noteDisconnect(err)
 			return false
 		}
-		c.mu.Lock()
-		expired := c.pending == 0 && time.Since(c.idleSince) >= idle
-		c.mu.Unlock()
-		if expired {
+		if c.hasExpired(time.Now(), idle) {
 			return false
 		}
 	}
@@ -222,38 +235,26 @@
 // watchForDisconnect keeps reading after the last request to detect that the
 // caller disconnects. It discards the bytes of any further requests.
 func (c *conn) watchForDisconnect() {
-	_ = c.raw.SetReadDeadline(time.Time{})
+	if !c.setIdleDeadline(time.Time{}) {
+		return
+	}
 	go func() {
 		buf := make([]byte, 512)
 		for {
 			if _, err := c.raw.Read(buf); err != nil {
-				c.cancel()
+				c.noteDisconnect(err)
 				return
 			}
 		}
 	}()
 }
 
-// lingerTimeout is how long bytes are discarded before a connection is closed:
-// the rest of a refused request, or what follows the last request. Closing with
-// unread data would send a reset, which can destroy the response before the
-// caller reads it.
-const lingerTimeout = 500 * time.Millisecond
-
-func (c *conn) isUrgent() bool {
+// noteDisconnect cancels the requests of a caller that has disconnected, by the error of a read.
+func (c *conn) noteDisconnect(err error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.urgent
-}
-
-// lingerAfterError discards the rest of a refused request, up to 1 MiB of it.
-func (c *conn) lingerAfterError() {
-	if c.isUrgent() {
-		return
-	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.limit.left = unlimited
-	_, _ = io.CopyN(io.Discard, c.reader, 1<<20)
+	c.callerClosed = c.callerClosed || errors.Is(err, io.EOF)
+	c.mu.Unlock()
+	c.cancel()
 }
 
 // write writes the responses in order.
@@ -268,7 +269,7 @@
 			c.endRequest()
 		}
 		if !ok || last {
-			c.closeAfterLast(ok)
+			c.endOutput(ok, r.broken)
 			if !ok {
 				c.giveUp(r)
 			}
@@ -305,6 +306,7 @@
 		var m int
 		m, err = w.c.raw.Write(p[n:min(len(p), n+writePieceBytes)])
 		n += m
+		w.c.written.Add(int64(m))
 		w.c.output.Moved(now)
 	}
 	w.c.writeStart.Store(0)
@@ -324,19 +326,3 @@
 	}
 	_ = tcp.SetLinger(seconds)
 }
-
-// closeAfterLast ends a connection after its last response. It closes the write
-// side first, so that the caller can read the response to its end.
-func (c *conn) closeAfterLast(complete bool) {
-	c.mu.Lock()
-	c.finished = true
-	c.mu.Unlock()
-	tcp, ok := c.raw.(*net.TCPConn)
-	if !complete || !ok {
-		c.cancel()
-		_ = c.raw.Close()
-		return
-	}
-	_ = tcp.CloseWrite()
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-}
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -126,6 +126,9 @@
 	// length is that of a streamed body, or -1 if unknown.
 	length    int64
 	truncated bool
+	// broken is set by the writer if the response is missing or ends early and the end of the
+	// connection shows it to the caller.
+	broken bool
 	// started is closed when the status and the headers of a streamed
 	// response are set.
 	started chan struct{}
@@ -269,6 +272,7 @@
 	default:
 	}
 	if w.conn.ctx.Err() != nil || w.status == 0 {
+		w.broken = true
 		return false
 	}
 	if w.conn.server.draining.Load() && w.conn.finishIfLast() {
@@ -300,6 +304,7 @@
 		}
 	}
 	if w.truncated {
+		w.broken = !untilClose
 		return false
 	}
 	if chunked {
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -76,9 +76,11 @@
 		return nil, instanceFull(fmt.Errorf("body of %d bytes exceeds the %d bytes for all callers", in.ContentLength, total))
 	}
 	if in.ContentLength <= l.BodyBytes && strings.EqualFold(in.Header.Get("Expect"), "100-continue") && c.isOnlyPending() {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		n, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
+		if err != nil {
 			return nil, nil
 		}
+		c.written.Add(int64(n))
 	}
 	body, err := readBody(in, l.BodyBytes, c.reading)
 	if err == nil {
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -27,7 +27,7 @@
 			least, longest = c, waited
 		}
 	}
-	if least == nil || !least.closeIfIdle() && !least.evictRequest(true) {
+	if least == nil || !least.closeIfIdle() && !least.closeIfStalled() && !least.evictRequest(true) {
 		return false
 	}
 	least.leaving = true
@@ -35,10 +35,11 @@
 	return true
 }
 
-// closeIfIdle closes the connection if it has no pending request, and reports whether it did.
+// closeIfIdle closes the connection if it has no pending request and its caller has received all
+// responses, and reports whether it did.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
-	idle := c.pending == 0
+	idle := c.pending == 0 && c.settle(time.Now()) == 0
 	if idle {
 		c.closed = true
 	}
@@ -54,7 +55,7 @@
 func (c *conn) evictRequest(urgent bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isReading || urgent && c.pending > 1 {
+	if !c.isReading || urgent && c.pending+c.settle(time.Now()) > 1 {
 		return false
 	}
 	c.evicted, c.urgent = true, c.urgent || urgent
@@ -68,8 +69,7 @@
 // closeIfStalled closes the connection if the caller does not take its responses, and reports
 // whether it did.
 func (c *conn) closeIfStalled() bool {
-	start := c.writeStart.Load()
-	if start == 0 || time.Since(time.Unix(0, start)) < stalledAfter {
+	if !c.isStalled(time.Now()) {
 		return false
 	}
 	c.cancel()
@@ -78,6 +78,17 @@
 	return true
 }
 
+// isStalled reports whether the caller has taken nothing for a while of what is written, or of
+// what the kernel holds when nothing more is.
+func (c *conn) isStalled(now time.Time) bool {
+	if start := c.writeStart.Load(); start != 0 {
+		return now.Sub(time.Unix(0, start)) >= stalledAfter
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0 && c.settle(now) > 0 && now.Sub(c.untaken.takenAt) >= stalledAfter
+}
+
 // unusedWeight times its idle time is how long a connection counts as idle on which no request
 // has ended: callers that keep their connections for further requests come first.
 const unusedWeight = 8
@@ -91,6 +102,12 @@
 	switch {
 	case c.leaving || c.closed || c.pending > 1 || c.pending == 1 && !c.isReading:
 		return 0
+	case c.settle(now) > 0:
+		// Cannot be closed before the caller counts as stalled.
+		if c.pending > 0 || now.Sub(c.untaken.takenAt) < stalledAfter {
+			return 0
+		}
+		since = c.untaken.takenAt
 	case c.isReading:
 		since = time.Unix(0, c.lastRead.Load())
 	}
@@ -107,11 +124,12 @@
 	c.mu.Unlock()
 }
 
-// setReadDeadline sets the deadline for reading a request, unless the request was evicted.
+// setReadDeadline sets the deadline for reading a request, unless the request was evicted or the
+// connection ends.
 func (c *conn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.evicted {
+	if !c.evicted && !c.finished {
 		_ = c.raw.SetReadDeadline(t)
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -107,15 +107,35 @@
 // read.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Active returns the number of requests that are being read or served.
-func (s *Server) Active() int { return int(s.active.Load()) }
+// Active returns the number of requests that are being read or served, or whose callers have not
+// acknowledged the whole response.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int(s.active.Load())
+	for c := range s.conns {
+		n += c.undelivered(time.Now())
+	}
+	return n
+}
 
-// CloseIdle closes the connections on which no request is being read or served.
+// Open returns the number of open connections, including those whose callers still receive the
+// last response.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// CloseIdle closes the connections on which no request is being read or served and no response is
+// on its way to the caller.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIfIdle()
+		if !c.isEnding() {
+			c.closeIfIdle()
+		}
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,9 +102,10 @@
 
 // stop marks the instance as not ready and waits until the load balancer has noticed.
 // From then on it refuses requests that connections still bring: they could last longer
-// than the grace period. It returns when all accepted requests have their response, or
-// exitMargin before the grace period ends; what has not been sent to a backend server
-// lastSendMargin before that is refused, so that it is sent to another instance.
+// than the grace period. It returns when the callers of all accepted requests have received
+// their responses and no connection is left, or exitMargin before the grace period ends; what
+// has not been sent to a backend server lastSendMargin before that is refused, so that it is
+// sent to another instance.
 func stop(f *fleet.Fleet, server *ingress.Server, handler *forward.Handler, callers net.Listener, grace time.Duration) {
 	start := time.Now()
 	log.WithField("event", "instance_stopping").Info("instance is stopping")
@@ -116,7 +117,7 @@
 	server.CloseIdle()
 	end := grace - exitMargin
 	for time.Since(start) < end {
-		if server.Active() == 0 && f.RelayedRequests() == 0 {
+		if server.Open() == 0 && f.RelayedRequests() == 0 {
 			break
 		}
 		if time.Since(start) >= end-lastSendMargin {
