fleet: a reply counts until the instance that asked for it has read it

Callers whose request was sent through another instance could lose the rest of their response when that instance was stopped: it exited as soon as it had written the last frame, although the entry instance had not read it. A reply is not read while its caller takes no more of it.

RelayedRequests, on which the exit depends, fell when the kernel had the last frame.

A loss in a process of its own was not produced: by this test only the count is shown.

--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -175,7 +175,8 @@
 	return h
 }
 
-// RelayedRequests returns the number of in-flight requests sent for other instances.
+// RelayedRequests returns the number of in-flight requests sent for other instances. A request is in
+// flight until the other instance has read the whole reply.
 func (f *Fleet) RelayedRequests() int { return int(f.relayedRequests.Load()) }
 
 // Send implements peerpb.DRPCCoordinationServer.
@@ -214,10 +215,23 @@
 		RequestID: h.RequestId, Team: h.Team, Body: body, Deadline: deadline, Repeatable: h.Repeatable,
 	}
 	outcome, err := s.fleet.opts.Sender.Run(stream.Context(), j, &replyWriter{stream: stream})
+	last := &peerpb.ReplyFrame{End: true}
 	if err != nil {
-		return stream.Send(&peerpb.ReplyFrame{Failure: uint32(outcome), Cause: err.Error()})
+		last = &peerpb.ReplyFrame{Failure: uint32(outcome), Cause: err.Error()}
 	}
-	return stream.Send(&peerpb.ReplyFrame{End: true})
+	if err := stream.Send(last); err != nil {
+		return err
+	}
+	awaitReceipt(stream.Context(), deadline)
+	return nil
+}
+
+// awaitReceipt waits until the other instance ends the call, which it does once it has read the
+// last frame of the reply, or until the request's deadline.
+func awaitReceipt(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	<-ctx.Done()
 }
 
 const (
--- a/internal/fleet/send_test.go
+++ b/internal/fleet/send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -47,6 +48,69 @@
 	}
 }
 
+// slowReply takes the body of a reply when it is told to.
+type slowReply struct {
+	bodyCollector
+	begun chan struct{}
+	take  chan struct{}
+}
+
+// Head implements sender.Reply.
+func (r *slowReply) Head(int, http.Header, int64) error {
+	close(r.begun)
+	<-r.take
+	return nil
+}
+
+// Guards against an instance that ends while another one has not read the reply that was passed
+// on for it: what the kernel has taken counts as sent (LOST).
+func TestReplyCountsUntilTheOtherInstanceHasReadIt(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// A response without a signature cannot be a success.
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = w.Write(make([]byte, 100_000))
+	}))
+	defer server.Close()
+	fleet := newTestFleet(t, 1)
+	fleet.addWith(1, func(o *Options) { o.Sender = sender.New(plainDialect{}) })
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	entry, relay := fleet.instances[0], fleet.instances[1]
+	reply := &slowReply{begun: make(chan struct{}), take: make(chan struct{})}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := entry.sendVia(t.Context(), relay.opts.Self.Address, &sender.Job{
+			Server: "s", Address: server.Listener.Addr().String(), Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(10 * time.Second),
+		}, reply)
+		ended <- err
+	}()
+	select {
+	case <-reply.begun:
+	case err := <-ended:
+		t.Fatalf("ended before the reply: %v", err)
+	}
+	relay.Leave()
+	for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if n := relay.RelayedRequests(); n != 1 {
+			t.Fatalf("%d requests count as in flight while the reply is not read", n)
+		}
+	}
+	close(reply.take)
+	if err := <-ended; err != nil || len(reply.body) != 100_000 {
+		t.Errorf("%d bytes of 100000, %v", len(reply.body), err)
+	}
+	eventually(t, "the request has ended", func() bool { return relay.RelayedRequests() == 0 })
+}
+
+// Guards against an instance that cannot end since another one stands still: it waits for it until
+// the deadline of the request.
+func TestReplyIsGivenUpAtItsDeadline(t *testing.T) {
+	start := time.Now()
+	awaitReceipt(context.Background(), start.Add(50*time.Millisecond))
+	if took := time.Since(start); took < 50*time.Millisecond || took > 5*time.Second {
+		t.Errorf("it took %v", took)
+	}
+}
+
 // Guards against an instance that exceeds its memory by requests of others (the instance that
 // accepts one holds its body). What it does not accept has not run and goes elsewhere.
 func TestInstanceWithoutMemoryAcceptsNoRequestsOfOthers(t *testing.T) {
