entry: a connection of the own interface is closed only when its caller has received its response

Callers of the own interface lost the rest of a response when they read later and sent more: behind `Connection: close` or a body in chunks, which close the connection, at an instance that drains, and beside a shortage of descriptors or of memory for heads. No SIGTERM was needed for half of these.

Drain, and what makes room, took a connection without a request for one without a response.

Close now hands the connection over: the write side is closed, the connection is closed as on the platform (package delivery) and counts as open until then, for Drain and for the bound on connections. Drain, and the account of heads, make the server's reads fail instead of closing; a request that has arrived before that takes it back. Room is made by connections whose callers have received everything, or have acknowledged nothing for 1 s. A failed write and the reset of an HTTP/1.0 response still close at once. The limits of both interfaces are in one place.

--- a/internal/delivery/wait.go
+++ b/internal/delivery/wait.go
@@ -12,6 +12,9 @@
 	PieceTimeout time.Duration
 }
 
+// CallerLimits are those for connections of callers.
+var CallerLimits = Limits{Linger: 500 * time.Millisecond, PieceBytes: 32 << 10, PieceTimeout: 30 * time.Second}
+
 type verdict string
 
 const (
--- a/internal/entry/room.go
+++ b/internal/entry/room.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -50,21 +51,26 @@
 	return s.maxConns <= 0 || s.draining || len(s.conns) < s.maxConns
 }
 
-// closeLongestIdle closes the connection that has had no request for longest, and reports whether
-// there is one.
+// closeLongestIdle closes the connection that has had no request for longest and whose caller
+// waits for no response, and reports whether there is one.
 func (s *Server) closeLongestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var longest net.Conn
+	var idle []net.Conn
 	for c, st := range s.conns {
-		if st.idle && (longest == nil || st.since.Before(s.conns[longest].since)) {
-			longest = c
+		if st.idle {
+			idle = append(idle, c)
 		}
 	}
-	if longest == nil {
-		return false
+	slices.SortFunc(idle, func(a, b net.Conn) int { return s.conns[a].since.Compare(s.conns[b].since) })
+	now := time.Now()
+	for _, c := range idle {
+		if h, ok := c.(*headConn); ok && !h.mayGiveWay(now) {
+			continue
+		}
+		closeNow(c)
+		delete(s.conns, c)
+		return true
 	}
-	_ = longest.Close()
-	delete(s.conns, longest)
-	return true
+	return false
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -70,7 +70,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	err := s.http.Serve(&boundedListener{Listener: headListener{l, s.heads}, server: s})
+	err := s.http.Serve(&boundedListener{Listener: headListener{l, s.heads, s.remove}, server: s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || errors.Is(err, http.ErrServerClosed) {
@@ -80,19 +80,32 @@
 }
 
 func (s *Server) track(c net.Conn, state http.ConnState) {
-	trackHead(c, state)
+	// After the connection counts as busy, closeIdle does not end it again.
+	defer trackHead(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		if h, ok := c.(*headConn); ok && h.isOpen() {
+			// Its caller still receives the last response.
+			s.conns[c] = connState{idle: true, since: time.Now()}
+			return
+		}
 		delete(s.conns, c)
 	default:
 		s.conns[c] = connState{idle: state != http.StateActive, since: time.Now()}
 	}
 }
 
+// remove forgets a connection.
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // Drain stops accepting connections and waits until every request is
-// finished, however long that takes. From before the call, the handler must send
+// finished and its caller has received the response, however long that takes. From before the call, the handler must send
 // Connection: close with its responses. An idle connection is kept for IdleGrace
 // after its last request or the call of Drain, whichever is later.
 //
@@ -113,7 +126,7 @@
 	_ = s.http.Close()
 }
 
-// closeIdle closes the connections that have been idle for IdleGrace and returns
+// closeIdle ends the connections that have been idle for IdleGrace and returns
 // the number of open connections.
 func (s *Server) closeIdle(start time.Time) int {
 	s.mu.Lock()
@@ -124,10 +137,15 @@
 		if since.Before(start) {
 			since = start
 		}
-		if st.idle && now.Sub(since) >= s.IdleGrace {
-			_ = c.Close()
-			delete(s.conns, c)
+		if !st.idle || now.Sub(since) < s.IdleGrace {
+			continue
+		}
+		if h, ok := c.(*headConn); ok {
+			h.end()
+			continue
 		}
+		_ = c.Close()
+		delete(s.conns, c)
 	}
 	return len(s.conns)
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilstream.example/trefoilstream/internal/delivery"
 	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
@@ -288,13 +289,8 @@
 	c.endRequest()
 }
 
-const (
-	// writeTimeout bounds the time in which a caller takes writePieceBytes of a response.
-	writeTimeout    = 30 * time.Second
-	writePieceBytes = 32 << 10
-)
-
-// callerWriter writes to the caller in pieces, each of which must be taken in time.
+// callerWriter writes to the caller in pieces, each of which must be taken in time, see
+// delivery.CallerLimits.
 type callerWriter struct{ c *conn }
 
 // Write implements io.Writer.
@@ -302,9 +298,9 @@
 	for n < len(p) && err == nil {
 		now := time.Now()
 		w.c.writeStart.Store(now.UnixNano())
-		_ = w.c.raw.SetWriteDeadline(now.Add(writeTimeout))
+		_ = w.c.raw.SetWriteDeadline(now.Add(delivery.CallerLimits.PieceTimeout))
 		var m int
-		m, err = w.c.raw.Write(p[n:min(len(p), n+writePieceBytes)])
+		m, err = w.c.raw.Write(p[n:min(len(p), n+delivery.CallerLimits.PieceBytes)])
 		n += m
 		w.c.written.Add(int64(m))
 		w.c.output.Moved(now)
--- a/internal/ingress/delivery_test.go
+++ b/internal/ingress/delivery_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/delivery"
 )
 
 // largeBytes is more than what the kernels of both sides take before the caller reads.
@@ -131,7 +132,7 @@
 		"reads after the linger": func(_ *testing.T, s *Server, c *lateReader) {
 			s.Drain()
 			c.send("/1")
-			time.Sleep(2 * lingerTimeout)
+			time.Sleep(2 * delivery.CallerLimits.Linger)
 			c.send("/2")
 		},
 	} {
--- a/internal/ingress/finish.go
+++ b/internal/ingress/finish.go
@@ -7,12 +7,6 @@
 	"trefoilstream.example/trefoilstream/internal/delivery"
 )
 
-// lingerTimeout is how long a caller may take to close its side after the last response.
-const lingerTimeout = 500 * time.Millisecond
-
-// deliveryLimits are those for the responses that the kernel holds when a connection ends.
-var deliveryLimits = delivery.Limits{Linger: lingerTimeout, PieceBytes: writePieceBytes, PieceTimeout: writeTimeout}
-
 // untaken holds where the responses end that were written and that the caller may not have
 // acknowledged, as offsets in what was written, in order.
 type untaken struct {
@@ -71,7 +65,7 @@
 func (c *conn) hasExpired(now time.Time, idle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.settle(now) > 0 && now.Sub(c.untaken.takenAt) < writeTimeout {
+	if c.settle(now) > 0 && now.Sub(c.untaken.takenAt) < delivery.CallerLimits.PieceTimeout {
 		c.idleSince = now
 	}
 	return c.pending == 0 && now.Sub(c.idleSince) >= idle
@@ -130,6 +124,6 @@
 		c.close()
 		return
 	}
-	_ = delivery.Close(tcp, callerClosed, deliveryLimits)
+	_ = delivery.Close(tcp, callerClosed, delivery.CallerLimits)
 	c.close()
 }
