node: a response counts until the instance that forwarded the request has read it

Callers of the own interface could lose the rest of a response when the instance that owns the backend server was stopped: it exited a second after its last call had returned, which is when the kernel has the last frame, although the entry instance had not read it.

The call now counts until the entry instance ends it, which it does when it has read the last frame and its caller's connection has taken it, at most until the request's deadline.

Evidence: TestWaitQuietWaitsForReadResponses fails without the wait ("quiet while the response is not read", 2 of 2 cases) and passes 3 of 3 with it, with the race detector.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -37,7 +37,8 @@
 }
 
 // inFlightCalls counts the requests that other instances forward through this
-// one as owner of a backend server.
+// one as owner of a backend server. A request counts until that instance has
+// read the whole response.
 type inFlightCalls struct {
 	mu         sync.Mutex
 	running    int
@@ -82,8 +83,8 @@
 func (o *countedOwner) Execute(stream peerpb.DRPCOwner_ExecuteStream) error {
 	counted := &countedStream{DRPCOwner_ExecuteStream: stream}
 	o.calls.add(1)
+	defer o.calls.add(-1)
 	err := o.DRPCOwnerServer.Execute(counted)
-	o.calls.add(-1)
 	// drpc reads nothing further from a connection until the current frame is
 	// consumed. A frame left unread, for example after a refusal, would hang
 	// the next call on the connection.
@@ -92,6 +93,9 @@
 			break
 		}
 	}
+	if err == nil {
+		counted.awaitReceipt()
+	}
 	return err
 }
 
@@ -99,11 +103,24 @@
 type countedStream struct {
 	peerpb.DRPCOwner_ExecuteStream
 	ended bool
+	// deadline is that of the request.
+	deadline time.Time
+}
+
+// awaitReceipt waits until the other instance ends the call, which it does once it has read the
+// response, or until the request's deadline.
+func (s *countedStream) awaitReceipt() {
+	ctx, cancel := context.WithDeadline(s.Context(), s.deadline)
+	defer cancel()
+	<-ctx.Done()
 }
 
 // Recv implements peerpb.DRPCOwner_ExecuteStream.
 func (s *countedStream) Recv() (*peerpb.ExecuteFrame, error) {
 	frame, err := s.DRPCOwner_ExecuteStream.Recv()
+	if head := frame.GetHead(); err == nil && head != nil {
+		s.deadline = time.Now().Add(time.Duration(head.DeadlineMs) * time.Millisecond)
+	}
 	s.ended = s.ended || err == nil && frame.End
 	return frame, err
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -42,7 +42,7 @@
 	return stream.Close()
 }
 
-func serveOwner(t *testing.T, o *refusingOwner) (*inFlightCalls, string) {
+func serveOwner(t *testing.T, o peerpb.DRPCOwnerServer) (*inFlightCalls, string) {
 	t.Helper()
 	counts := &inFlightCalls{}
 	s := peer.NewServer(nil)
@@ -98,3 +98,70 @@
 	}
 	<-quiet
 }
+
+// respondingOwner is an owner that responds with a body of bodyBytes.
+type respondingOwner struct {
+	peerpb.DRPCOwnerUnimplementedServer
+}
+
+const bodyBytes = 100_000
+
+func (*respondingOwner) Execute(s peerpb.DRPCOwner_ExecuteStream) error {
+	if _, err := s.Recv(); err != nil {
+		return err
+	}
+	for _, frame := range []*peerpb.AnswerFrame{{Head: &peerpb.AnswerHead{Status: 200}}, {Body: make([]byte, bodyBytes)}, {End: true}} {
+		if err := s.Send(frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against an instance that exits while another one has not read the response that it
+// forwarded: what the kernel has taken counts as sent. One that stands still delays the exit
+// until the deadline of its request.
+func TestWaitQuietWaitsForReadResponses(t *testing.T) {
+	for name, deadline := range map[string]time.Duration{"reads later": 10 * time.Second, "reads nothing": 700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			counts, address := serveOwner(t, &respondingOwner{})
+			pool := peer.NewPool(nil)
+			defer func() { _ = pool.Close() }()
+			stream, err := peerpb.NewDRPCOwnerClient(pool.Conn(t.Context(), address)).Execute(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := stream.Send(&peerpb.ExecuteFrame{Head: &peerpb.ExecuteHead{DeadlineMs: uint64(deadline.Milliseconds())}, End: true}); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := stream.Recv(); err != nil {
+				t.Fatal(err)
+			}
+			quiet := make(chan struct{})
+			go func() {
+				counts.waitQuiet(50 * time.Millisecond)
+				close(quiet)
+			}()
+			select {
+			case <-quiet:
+				t.Fatal("quiet while the response is not read")
+			case <-time.After(300 * time.Millisecond):
+			}
+			if name == "reads later" {
+				frame, err := stream.Recv()
+				if err != nil || len(frame.Body) != bodyBytes {
+					t.Fatalf("%d bytes of %d, %v", len(frame.GetBody()), bodyBytes, err)
+				}
+				if frame, err = stream.Recv(); err != nil || !frame.End {
+					t.Fatalf("%v, %v; want the end", frame, err)
+				}
+				_ = stream.Close()
+			}
+			select {
+			case <-quiet:
+			case <-time.After(5 * time.Second):
+				t.Fatal("never quiet")
+			}
+		})
+	}
+}
