delivery: a caller that reads later is not taken for one that is gone

Cause: TCP_USER_TIMEOUT. It was set to end connections whose peer is gone without a word, and the kernel counts also the time for which a live peer's window is closed. What proves that a peer is gone is the lack of an acknowledgement of what was sent, data or a probe of the window; a live kernel acknowledges both.

The option is not set for callers any more. Keep-alive probes end an idle connection as before. A write that does not end, and a connection that is being closed, are looked at each 200 ms: a peer that has acknowledged nothing for 1.5 s although something awaits it is gone. A caller that lives has 30 s for each 32 KiB, as was meant. Since such callers may now stay, those that take nothing for 1 s make room for new connections when descriptors run out.

TestCallerThatReadsSecondsLaterIsNotCutOff failed before (65,493 bytes of 900,000, then a reset), TestCallersThatReadNothingMakeRoom too (no response within 20 s); TestWriteToAPeerThatReadsLaterOrIsGone lets a peer's kernel drop all that arrives: gone after 1.8 s.

Not mended: the option stays on connections between instances (a response of more than 1 MiB that comes by another instance, whose caller reads nothing for 1.5 s), and a connection on which nothing is written, whose caller is gone while a response awaits its acknowledgement, is kept until it is idle for too long.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -35,11 +35,7 @@
 // isReset reports whether the connection was reset. A read does not show it once the peer has
 // closed its side.
 func isReset(c *net.TCPConn) bool {
-	var info *unix.TCPInfo
-	err := control(c, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
+	info, err := tcpInfo(c)
 	return err != nil || info.State == stateClosed
 }
 
@@ -79,6 +75,7 @@
 		return err
 	}
 	d := &drain{conn: c, peerClosed: peerClosed}
+	var s silence
 	w := newWait(l, time.Now(), left)
 	for poll := firstPoll; ; poll = min(2*poll, lastPoll) {
 		if err := d.discard(poll); err != nil {
@@ -97,6 +94,10 @@
 		if d.peerClosed && isReset(c) {
 			return fmt.Errorf("peer reset the connection with %d bytes unacknowledged", left)
 		}
+		if s.look(c) {
+			_ = c.SetLinger(0)
+			return fmt.Errorf("%d bytes unacknowledged: %w", left, ErrPeerGone)
+		}
 	}
 }
 
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Guards against closing before the peer has received everything, against waiting for ever for one
@@ -171,3 +174,101 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against taking a peer for gone that only reads later, and against holding a connection
+// for one that is gone without a word.
+func TestSilence(t *testing.T) {
+	type look struct {
+		at, lastAck time.Duration
+		awaited     bool
+		gone        bool
+	}
+	for name, looks := range map[string][]look{
+		"nothing is awaited":      {{0, time.Hour, false, false}, {time.Hour, time.Hour, false, false}},
+		"acknowledgements arrive": {{0, 100 * time.Millisecond, true, false}, {5 * time.Second, 1400 * time.Millisecond, true, false}},
+		"a probe was sent just now, and is acknowledged": {
+			{0, 3 * time.Second, true, false}, {200 * time.Millisecond, 200 * time.Millisecond, false, false},
+			{5 * time.Second, 5 * time.Second, true, false}, {5200 * time.Millisecond, 0, false, false},
+		},
+		"data is not acknowledged":    {{0, 0, true, false}, {1400 * time.Millisecond, 1400 * time.Millisecond, true, false}, {1600 * time.Millisecond, 1600 * time.Millisecond, true, false}, {1800 * time.Millisecond, 1800 * time.Millisecond, true, true}},
+		"a probe is not acknowledged": {{0, 3 * time.Second, true, false}, {200 * time.Millisecond, 3200 * time.Millisecond, true, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s silence
+			start := time.Unix(1000, 0)
+			for i, l := range looks {
+				if got := s.isGone(start.Add(l.at), l.awaited, l.lastAck); got != l.gone {
+					t.Fatalf("look %d: gone %v, want %v", i, got, l.gone)
+				}
+			}
+		})
+	}
+}
+
+// vanish makes the kernel of a peer drop whatever arrives for it, as after a loss of power.
+func vanish(t *testing.T, peer *net.TCPConn) {
+	t.Helper()
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+	if err := control(peer, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against cutting off a peer that reads nothing for some seconds, and against keeping
+// memory for as long for one that is gone.
+func TestWriteToAPeerThatReadsLaterOrIsGone(t *testing.T) {
+	const readsAfter, timeout = 3 * time.Second, 20 * time.Second
+	for _, gone := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gone %v", gone), func(t *testing.T) {
+			t.Parallel()
+			own, peer := connect(t)
+			_ = own.SetWriteBuffer(32 << 10)
+			received := make(chan int64, 1)
+			if gone {
+				vanish(t, peer)
+			} else {
+				go func() {
+					time.Sleep(readsAfter)
+					n, _ := io.Copy(io.Discard, peer)
+					received <- n
+				}()
+			}
+			start := time.Now()
+			n, err := Write(own, make([]byte, 10*sent), timeout)
+			took := time.Since(start)
+			if gone {
+				if !errors.Is(err, ErrPeerGone) || took > 2*readsAfter {
+					t.Errorf("%d bytes after %v, %v", n, took, err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatalf("%d bytes after %v: %v", n, took, err)
+			}
+			if err := Close(own, false, CallerLimits); err != nil {
+				t.Error(err)
+			}
+			if n := <-received; n != 10*sent {
+				t.Errorf("the peer got %d bytes of %d", n, 10*sent)
+			}
+		})
+	}
+}
+
+// Guards against holding a connection at its end for a peer that is gone without a word.
+func TestClosePeerIsGone(t *testing.T) {
+	own, peer := connect(t)
+	vanish(t, peer)
+	if _, err := own.Write(make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	if err := Close(own, false, CallerLimits); !errors.Is(err, ErrPeerGone) {
+		t.Errorf("error %v", err)
+	}
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("the connection is held for %v", took)
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -298,9 +298,8 @@
 	for n < len(p) && err == nil {
 		now := time.Now()
 		w.c.writeStart.Store(now.UnixNano())
-		_ = w.c.raw.SetWriteDeadline(now.Add(delivery.CallerLimits.PieceTimeout))
 		var m int
-		m, err = w.c.raw.Write(p[n:min(len(p), n+delivery.CallerLimits.PieceBytes)])
+		m, err = delivery.Write(w.c.raw, p[n:min(len(p), n+delivery.CallerLimits.PieceBytes)], delivery.CallerLimits.PieceTimeout)
 		n += m
 		w.c.written.Add(int64(m))
 		w.c.output.Moved(now)
--- a/internal/ingress/delivery_test.go
+++ b/internal/ingress/delivery_test.go
@@ -13,6 +13,7 @@
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
 	"trefoilstream.example/trefoilstream/internal/delivery"
+	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
 
 // largeBytes is more than what the kernels of both sides take before the caller reads.
@@ -215,3 +216,43 @@
 		})
 	}
 }
+
+// Guards against taking a caller for gone that reads nothing for some seconds: its kernel
+// acknowledges what arrives, and probes of its window (LOST).
+func TestCallerThatReadsSecondsLaterIsNotCutOff(t *testing.T) {
+	const responses = 20
+	l, err := sockopt.CallerListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go NewServer(&handler{serve: serveLarge}).Serve(l)
+	c := dialLate(t, l)
+	// More than what the kernels take, so that a write waits for the caller.
+	for range responses {
+		c.send("/1")
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for range responses {
+		c.wantWhole(t)
+	}
+}
+
+// Guards against a new connection that waits until callers are given up that read nothing.
+func TestCallersThatReadNothingMakeRoom(t *testing.T) {
+	_, l := listenBounded(t, &handler{serve: serveLarge}, 64<<20, 2)
+	for range 2 {
+		c := dialLate(t, l)
+		for range maxPipelined {
+			c.send("/1")
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	start := time.Now()
+	c := dialLate(t, l)
+	c.send("/1")
+	c.wantWhole(t)
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("the response took %v", took)
+	}
+}
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -94,12 +94,16 @@
 const unusedWeight = 8
 
 // idleFor returns how long the connection has neither served nor received anything, weighted by
-// its use; 0 if it cannot be closed without cutting off a request that was read.
+// its use; 0 if it cannot be closed without cutting off a request that was read. A connection whose
+// caller takes nothing counts as idle for as long.
 func (c *conn) idleFor(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since := c.idleSince
-	switch {
+	switch start := c.writeStart.Load(); {
+	case !c.leaving && !c.closed && start != 0 && now.Sub(time.Unix(0, start)) >= stalledAfter:
+		// The responses behind the one that the caller does not take cannot reach it either.
+		return now.Sub(time.Unix(0, start))
 	case c.leaving || c.closed || c.pending > 1 || c.pending == 1 && !c.isReading:
 		return 0
 	case c.settle(now) > 0:
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -42,15 +42,17 @@
 // toward the machine's memory and not toward that of the process.
 const callerBufferBytes = 64 << 10
 
-// CallerListenConfig is ListenConfig with a bounded receive buffer.
+// CallerListenConfig is ListenConfig with a bounded receive buffer and without a limit on
+// unacknowledged data, which would also end the connection of a caller that reads later: see
+// package delivery.
 func CallerListenConfig() *net.ListenConfig {
 	c := ListenConfig()
-	c.Control = func(network, address string, raw syscall.RawConn) error {
+	c.Control = func(_, _ string, raw syscall.RawConn) error {
 		var sockErr error
 		err := raw.Control(func(fd uintptr) {
 			sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerBufferBytes)
 		})
-		return errors.Join(err, sockErr, setUserTimeout(network, address, raw))
+		return errors.Join(err, sockErr)
 	}
 	return c
 }
