--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -32,8 +32,8 @@
 // stateClosed is TCP_CLOSE, the state after a reset.
 const stateClosed = 7
 
-// isReset reports whether the connection was reset. A read does not show it once the peer has
-// closed its side.
+// isReset reports whether the connection was reset, which only a read before the end of the peer's
+// side shows.
 func isReset(c *net.TCPConn) bool {
 	info, err := tcpInfo(c)
 	return err != nil || info.State == stateClosed
@@ -91,7 +91,7 @@
 			_ = c.SetLinger(0)
 			return fmt.Errorf("peer does not take the last %d bytes", left)
 		}
-		if d.peerClosed && isReset(c) {
+		if d.isOver() && isReset(c) {
 			return fmt.Errorf("peer reset the connection with %d bytes unacknowledged", left)
 		}
 		if s.look(c) {
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -17,10 +17,10 @@
 func TestWait(t *testing.T) {
 	limits := Limits{Linger: 500 * time.Millisecond, PieceBytes: 100, PieceTimeout: 10 * time.Second}
 	type look struct {
-		at     time.Duration
-		left   int
-		silent bool
-		want   verdict
+		at   time.Duration
+		left int
+		over bool
+		want verdict
 	}
 	for name, looks := range map[string][]look{
 		"nothing is left and the peer has closed": {{0, 0, true, done}},
@@ -38,7 +38,7 @@
 			start := time.Unix(1000, 0)
 			w := newWait(limits, start, 300)
 			for i, l := range looks {
-				if got := w.next(start.Add(l.at), l.left, l.silent); got != l.want {
+				if got := w.next(start.Add(l.at), l.left, l.over); got != l.want {
 					t.Fatalf("look %d: %s, want %s", i, got, l.want)
 				}
 			}
--- a/internal/delivery/wait.go
+++ b/internal/delivery/wait.go
@@ -37,14 +37,14 @@
 	return &wait{limits: l, left: left, since: now}
 }
 
-// next returns what to do if left bytes are unacknowledged. Silent says that the peer sends nothing
-// more, so that closing the connection discards nothing.
-func (w *wait) next(now time.Time, left int, silent bool) verdict {
+// next returns what to do if left bytes are unacknowledged. Over says that nothing more is read of
+// the peer, so that there is nothing to linger for.
+func (w *wait) next(now time.Time, left int, over bool) verdict {
 	if left == 0 {
 		if w.acknowledged.IsZero() {
 			w.acknowledged = now
 		}
-		if silent || now.Sub(w.acknowledged) >= w.limits.Linger {
+		if over || now.Sub(w.acknowledged) >= w.limits.Linger {
 			return done
 		}
 		return waiting
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -11,8 +11,8 @@
 	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
-// headListener accepts connections whose heads count toward an account.
-type headListener struct {
+// callerListener accepts connections of callers. Their heads count toward an account.
+type callerListener struct {
 	net.Listener
 	account *memory.Account
 	// onClosed is that of the connections.
@@ -20,7 +20,7 @@
 }
 
 // Accept implements net.Listener.
-func (l headListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -29,17 +29,17 @@
 	if !ok {
 		return c, nil
 	}
-	h := &headConn{TCPConn: tcp, inHead: true, onClosed: l.onClosed}
+	h := &callerConn{TCPConn: tcp, inHead: true, onClosed: l.onClosed}
 	h.held = l.account.NewHolder(h.closeInHead)
 	return h, nil
 }
 
-// headConn is a connection of a caller. It reserves memory for what it reads of a head before
+// callerConn is a connection of a caller. It reserves memory for what it reads of a head before
 // the HTTP server parses it, and fails if none is left. When memory is short, a connection is
 // closed whose request has not arrived completely; that request has not run.
 //
-// Close waits until the caller has received what was written, see closeDelivered.
-type headConn struct {
+// It stays open after Close until the caller has received what was written, see closing.go.
+type callerConn struct {
 	*net.TCPConn
 	held *memory.Holder
 	// onClosed is called if the connection is closed later than Close returns.
@@ -64,7 +64,7 @@
 }
 
 // Read implements net.Conn.
-func (c *headConn) Read(p []byte) (int, error) {
+func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if err == io.EOF {
 		c.mu.Lock()
@@ -80,14 +80,14 @@
 	return n, err
 }
 
-func (c *headConn) isInHead() bool {
+func (c *callerConn) isInHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.inHead
 }
 
 // setInHead notes whether the next bytes belong to a head.
-func (c *headConn) setInHead(inHead bool) {
+func (c *callerConn) setInHead(inHead bool) {
 	c.mu.Lock()
 	c.inHead = inHead
 	c.mu.Unlock()
@@ -95,7 +95,7 @@
 
 // closeInHead ends the connection unless the handler has the request, and reports whether it
 // did.
-func (c *headConn) closeInHead() bool {
+func (c *callerConn) closeInHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inHead {
@@ -104,17 +104,17 @@
 	return c.inHead
 }
 
-type headConnKey struct{}
+type callerConnKey struct{}
 
-// withHeadConn makes the connection known to the handlers of its requests.
-func withHeadConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, headConnKey{}, c)
+// withCallerConn makes the connection known to the handlers of its requests.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
 // endHead returns a handler that ends the head of each request.
 func endHead(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(headConnKey{}).(*headConn); ok {
+		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
 			c.setInHead(false)
 			c.resume()
 		}
@@ -122,9 +122,10 @@
 	})
 }
 
-// trackHead releases the memory of a head when its request has ended.
-func trackHead(c net.Conn, state http.ConnState) {
-	h, ok := c.(*headConn)
+// trackConn notes what the HTTP server says of a connection, and releases the memory of a head when
+// its request has ended.
+func trackConn(c net.Conn, state http.ConnState) {
+	h, ok := c.(*callerConn)
 	if !ok {
 		return
 	}
--- a/internal/entry/closing.go
+++ b/internal/entry/closing.go
@@ -8,7 +8,7 @@
 )
 
 // Write implements net.Conn.
-func (c *headConn) Write(p []byte) (int, error) {
+func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	if err != nil {
 		c.fail()
@@ -17,7 +17,7 @@
 }
 
 // SetLinger makes Close reset the connection if the argument is 0, see abort.
-func (c *headConn) SetLinger(seconds int) error {
+func (c *callerConn) SetLinger(seconds int) error {
 	if seconds == 0 {
 		c.fail()
 	}
@@ -25,20 +25,20 @@
 }
 
 // fail makes Close wait for nothing.
-func (c *headConn) fail() {
+func (c *callerConn) fail() {
 	c.mu.Lock()
 	c.failed = true
 	c.mu.Unlock()
 }
 
-func (c *headConn) setIdle(idle bool) {
+func (c *callerConn) setIdle(idle bool) {
 	c.mu.Lock()
 	c.idle = idle
 	c.mu.Unlock()
 }
 
 // SetReadDeadline implements net.Conn. It does nothing once the connection ends.
-func (c *headConn) SetReadDeadline(t time.Time) error {
+func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending {
@@ -49,19 +49,19 @@
 
 // end makes the HTTP server close a connection that has no request, in its own time: its reads
 // fail.
-func (c *headConn) end() {
+func (c *callerConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endLocked()
 }
 
-func (c *headConn) endLocked() {
+func (c *callerConn) endLocked() {
 	c.ending = true
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // resume takes end back for a request that had arrived before it.
-func (c *headConn) resume() {
+func (c *callerConn) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending {
@@ -73,11 +73,12 @@
 // Close implements net.Conn. The HTTP server calls it after the last response, which the caller
 // may not have received: the connection stays open until it has, see delivery.Close. One that is
 // idle is closed at once. So is one whose writes fail, and any one at the second call.
-func (c *headConn) Close() error {
+func (c *callerConn) Close() error {
 	c.held.ReleaseAll()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.failed || c.idle && c.isDelivered() {
+	atOnce := c.closing || c.failed || c.idle && c.isDelivered()
+	if atOnce {
 		c.closing, c.closed = true, true
 		return c.TCPConn.Close()
 	}
@@ -93,14 +94,14 @@
 }
 
 // isOpen reports whether the connection stays open although the HTTP server has closed it.
-func (c *headConn) isOpen() bool {
+func (c *callerConn) isOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing && !c.closed
 }
 
 // isDelivered reports whether the caller has received all that was written. The caller holds mu.
-func (c *headConn) isDelivered() bool {
+func (c *callerConn) isDelivered() bool {
 	left, err := delivery.Unacknowledged(c.TCPConn)
 	return err != nil || left == 0
 }
@@ -111,7 +112,7 @@
 
 // mayGiveWay reports whether the connection, which has no request, can be closed for another one:
 // its caller has received all responses, or takes no more of them.
-func (c *headConn) mayGiveWay(now time.Time) bool {
+func (c *callerConn) mayGiveWay(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	left, err := delivery.Unacknowledged(c.TCPConn)
@@ -126,7 +127,7 @@
 
 // closeNow closes a connection that has no request without waiting for its caller.
 func closeNow(c net.Conn) {
-	if h, ok := c.(*headConn); ok {
+	if h, ok := c.(*callerConn); ok {
 		_ = h.TCPConn.Close()
 		return
 	}
--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -89,7 +89,7 @@
 			time.Sleep(pause)
 			f.server.mu.Lock()
 			for own := range f.server.conns {
-				own.(*headConn).closeInHead()
+				own.(*callerConn).closeInHead()
 			}
 			f.server.mu.Unlock()
 			time.Sleep(pause)
@@ -177,7 +177,7 @@
 	f.server.mu.Lock()
 	for own := range f.server.conns {
 		// As if the request had arrived just before end, whose deadline is set last.
-		h := own.(*headConn)
+		h := own.(*callerConn)
 		h.mu.Lock()
 		h.ending = true
 		h.mu.Unlock()
--- a/internal/entry/room.go
+++ b/internal/entry/room.go
@@ -65,7 +65,7 @@
 	slices.SortFunc(idle, func(a, b net.Conn) int { return s.conns[a].since.Compare(s.conns[b].since) })
 	now := time.Now()
 	for _, c := range idle {
-		if h, ok := c.(*headConn); ok && !h.mayGiveWay(now) {
+		if h, ok := c.(*callerConn); ok && !h.mayGiveWay(now) {
 			continue
 		}
 		closeNow(c)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,7 +59,7 @@
 		heads: memory.NewAccount(limitsOf(machine, headShare), nil), maxConns: maxConns,
 	}
 	s.http = http.Server{
-		Handler: endHead(h), ConnContext: withHeadConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: endHead(h), ConnContext: withCallerConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: serverHeaderBytes, ConnState: s.track,
 	}
 	return s
@@ -70,7 +70,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	err := s.http.Serve(&boundedListener{Listener: headListener{l, s.heads, s.remove}, server: s})
+	err := s.http.Serve(&boundedListener{Listener: callerListener{l, s.heads, s.remove}, server: s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || errors.Is(err, http.ErrServerClosed) {
@@ -81,12 +81,12 @@
 
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	// After the connection counts as busy, closeIdle does not end it again.
-	defer trackHead(c, state)
+	defer trackConn(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
-		if h, ok := c.(*headConn); ok && h.isOpen() {
+		if h, ok := c.(*callerConn); ok && h.isOpen() {
 			// Its caller still receives the last response.
 			s.conns[c] = connState{idle: true, since: time.Now()}
 			return
@@ -140,7 +140,7 @@
 		if !st.idle || now.Sub(since) < s.IdleGrace {
 			continue
 		}
-		if h, ok := c.(*headConn); ok {
+		if h, ok := c.(*callerConn); ok {
 			h.end()
 			continue
 		}
--- a/internal/ingress/finish.go
+++ b/internal/ingress/finish.go
@@ -112,15 +112,16 @@
 	return true
 }
 
-// finish closes the connection when its caller has received everything that was written.
+// finish closes the connection when its caller has received everything that was written. An idle
+// one is closed at once, since a request that is read and discarded counts as lost.
 func (c *conn) finish() {
 	c.mu.Lock()
-	now := !c.finished && !c.callerClosed && c.settle(time.Now()) == 0
-	now = now || c.urgent || c.closed
+	idle := !c.finished && !c.callerClosed && c.settle(time.Now()) == 0
+	atOnce := idle || c.urgent || c.closed
 	callerClosed := c.callerClosed
 	c.mu.Unlock()
 	tcp, ok := c.raw.(*net.TCPConn)
-	if now || !ok {
+	if atOnce || !ok {
 		c.close()
 		return
 	}
