--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -54,6 +54,24 @@
 }
 
 func startFaultRun(t *testing.T, seed uint64) *faultRun {
+	t.Helper()
+	fleet, doc := startFaultFleet(t, standin.Behaviour{Slots: 4, ServiceMS: 5, BytesPerSecond: 1 << 20})
+	teams := []measure.TeamLoad{{ID: "dispatch", Key: "dispatch-1", PerSecond: 60}, {ID: "towing", Key: "towing-1", PerSecond: 30}}
+	mix := []measure.RouteShare{{Route: doc.Routes[0], Share: 0.9}, {Route: doc.Routes[1], Share: 0.1}}
+	r := &faultRun{t: t, fleet: fleet, teams: doc.Teams, load: measure.NewLoad(fleet, teams, mix, seed)}
+	loadCtx, stopLoad := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.load.Run(loadCtx); close(done) }()
+	r.stop = func() { stopLoad(); <-done }
+	t.Cleanup(r.stop)
+	// The requests of the first seconds fill the retry budgets.
+	time.Sleep(4 * time.Second)
+	return r
+}
+
+// startFaultFleet starts the fleet of a faultRun, whose download servers behave as given, without
+// load.
+func startFaultFleet(t *testing.T, download standin.Behaviour) (*measure.Fleet, *document.Document) {
 	t.Helper()
 	var servers strings.Builder
 	for i, d := range []string{"astoria", "longview", "vancouver-wa"} {
@@ -76,7 +94,7 @@
 		Binaries: binaries, Logs: logs, Document: doc, Instances: 3, DrainWait: 500 * time.Millisecond,
 		Behaviours: map[string]standin.Behaviour{
 			"lookup":   {Slots: 4, ServiceMS: 10},
-			"download": {Slots: 4, ServiceMS: 5, BytesPerSecond: 1 << 20},
+			"download": download,
 		},
 	})
 	t.Cleanup(func() {
@@ -91,17 +109,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	teams := []measure.TeamLoad{{ID: "dispatch", Key: "dispatch-1", PerSecond: 60}, {ID: "towing", Key: "towing-1", PerSecond: 30}}
-	mix := []measure.RouteShare{{Route: doc.Routes[0], Share: 0.9}, {Route: doc.Routes[1], Share: 0.1}}
-	r := &faultRun{t: t, fleet: fleet, teams: doc.Teams, load: measure.NewLoad(fleet, teams, mix, seed)}
-	loadCtx, stopLoad := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { r.load.Run(loadCtx); close(done) }()
-	r.stop = func() { stopLoad(); <-done }
-	t.Cleanup(r.stop)
-	// The requests of the first seconds fill the retry budgets.
-	time.Sleep(4 * time.Second)
-	return r
+	return fleet, doc
 }
 
 // evaluate ends the load, fails the test for each violated guarantee, and returns
