--- a/review/tool-3/backend.go
+++ b/review/tool-3/backend.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,43 +42,85 @@
 	workTime          time.Duration
 	// respond writes the response of a request that has run; by default a short body.
 	respond func(w http.ResponseWriter, r *http.Request)
+	// readsInPieces makes the backend work on the first piece of a body for three quarters of its work time
+	// before it reads the rest.
+	readsInPieces bool
+	// crashesOn is the path of a request that crashes the backend when it begins to run it.
+	crashesOn string
+	server    *http.Server
+	// phase is when its first heartbeat after the start comes, within the interval.
+	phase time.Duration
 
 	address string
 	sem     chan struct{}
 	mu      sync.Mutex
 	runs    []*run
 	waiting int
+	// coldUntil is until when the backend is cold.
+	coldUntil time.Time
+	born      int64
+	arrivals  []arrival
 }
 
 // queueLength is how many requests wait at a backend beside those that run.
 const queueLength = 16
 
 func (b *backend) start(s *store) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := b.listen()
 	if err != nil {
 		return err
 	}
 	b.address = l.Addr().String()
 	b.sem = make(chan struct{}, b.slots)
-	go func() { _ = http.Serve(l, b) }()
-	born := time.Now().UnixMilli()
+	b.serve(l)
+	b.born = time.Now().UnixMilli()
 	beat := func(sequence int) {
+		if b.isDown() {
+			return
+		}
 		entry, _ := json.Marshal(map[string]any{
 			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots,
-			"state": "ready", "cold-remaining": "0ms", "sequence": sequence, "born": born,
+			"state": "ready", "cold-remaining": fmt.Sprintf("%dms", max(0, time.Until(b.coldEnd())).Milliseconds()), "sequence": sequence, "born": b.bornAt(),
 		})
 		s.put("keyed.servers", "servers/"+b.id, entry)
 	}
 	beat(1)
 	go func() {
+		time.Sleep(b.phase)
 		for n := 2; ; n++ {
-			time.Sleep(beatInterval)
 			beat(n)
+			time.Sleep(beatInterval)
 		}
 	}()
 	return nil
 }
 
+// arrival is a request that reached the backend and was meant for it.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+func (b *backend) coldEnd() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.coldUntil
+}
+
+// turnCold makes the backend cold for some time. Its next heartbeat tells it.
+func (b *backend) turnCold(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldUntil = time.Now().Add(d)
+}
+
+// allArrivals returns a copy of what arrived.
+func (b *backend) allArrivals() []arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]arrival(nil), b.arrivals...)
+}
+
 // allRuns returns a copy of what the backend worked on.
 func (b *backend) allRuns() []run {
 	b.mu.Lock()
@@ -110,10 +154,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
 	b.mu.Lock()
+	b.arrivals = append(b.arrivals, arrival{id, time.Now()})
 	full := b.waiting >= queueLength
 	if !full {
 		b.waiting++
@@ -139,9 +181,12 @@
 	b.runs = append(b.runs, work)
 	b.mu.Unlock()
 	defer func() { <-b.sem }()
-	select {
-	case <-time.After(b.workTime):
-	case <-r.Context().Done():
+	if b.crashesOn != "" && r.URL.Path == b.crashesOn {
+		b.end(work, true)
+		b.crash()
+		return
+	}
+	if !b.work(r) {
 		b.end(work, true)
 		return
 	}
@@ -159,3 +204,90 @@
 	defer b.mu.Unlock()
 	work.ended, work.cancelled = time.Now(), cancelled
 }
+
+// firstPiece is how much of a body is read before the work on it begins.
+const firstPiece = 64 << 10
+
+// work reads the body and works on the request. It reports false if the connection ended first.
+func (b *backend) work(r *http.Request) bool {
+	first, rest := time.Duration(0), b.workTime
+	if b.readsInPieces {
+		first, rest = b.workTime*3/4, b.workTime/4
+		if _, err := io.CopyN(io.Discard, r.Body, firstPiece); err != nil && err != io.EOF {
+			return false
+		}
+	}
+	time.Sleep(first)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	select {
+	case <-time.After(rest):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// smallWindow is the receive buffer of a backend's connections, in bytes.
+const smallWindow = 64 << 10
+
+func (b *backend) listen() (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if e := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	address := b.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+func (b *backend) serve(l net.Listener) {
+	s := &http.Server{Handler: b}
+	b.mu.Lock()
+	b.server = s
+	b.mu.Unlock()
+	go func() { _ = s.Serve(l) }()
+}
+
+func (b *backend) bornAt() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.born
+}
+
+// crash ends the listener and all connections, as the end of a process does, and starts the
+// backend again later, under its id and at its address.
+func (b *backend) crash() {
+	b.mu.Lock()
+	s := b.server
+	b.server = nil
+	b.mu.Unlock()
+	if s == nil {
+		return
+	}
+	_ = s.Close()
+	time.AfterFunc(downAfterCrash, func() {
+		l, err := b.listen()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.born = time.Now().UnixMilli()
+		b.mu.Unlock()
+		b.serve(l)
+	})
+}
+
+func (b *backend) isDown() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.server == nil
+}
--- a/review/tool-3/client.go
+++ b/review/tool-3/client.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,10 +26,15 @@
 
 // ask sends one request over a client that keeps its connections, and waits for the answer.
 func ask(c *http.Client, address, method, path string, deadline time.Duration) answer {
+	return send(c, address, method, path, nil, deadline)
+}
+
+// send is ask with a body.
+func send(c *http.Client, address, method, path string, body []byte, deadline time.Duration) answer {
 	a := answer{id: newID(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+500*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
@@ -56,22 +60,3 @@
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}
 }
-
-// rawRequest returns the bytes of a request.
-func rawRequest(method, path, id string, deadline time.Duration) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: key-1\r\n%s: %d\r\n\r\n", method, path, headerID, id, headerKey, headerDeadline, deadline.Milliseconds())
-}
-
-// rawConn is a connection on which a client writes its own bytes.
-type rawConn struct {
-	*net.TCPConn
-	reader *bufio.Reader
-}
-
-func dialRaw(address string) (*rawConn, error) {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return nil, err
-	}
-	return &rawConn{TCPConn: c.(*net.TCPConn), reader: bufio.NewReader(c)}, nil
-}
--- a/review/tool-3/quota.go
+++ b/review/tool-3/quota.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["13"] = playQuota }
+func init() { cases["spare"] = playQuota }
 
 // Figures of the case. The bounds are those of the users' pages.
 const (
