--- a/review/tool-3/backend.go
+++ b/review/tool-3/backend.go
@@ -42,12 +42,9 @@
 	workTime          time.Duration
 	// respond writes the response of a request that has run; by default a short body.
 	respond func(w http.ResponseWriter, r *http.Request)
-	// readsInPieces makes the backend work on the first piece of a body for three quarters of its work time
-	// before it reads the rest.
+	// readsInPieces makes the backend work on the first piece of a body for three quarters of
+	// its work time before it reads the rest.
 	readsInPieces bool
-	// crashesOn is the path of a request that crashes the backend when it begins to run it.
-	crashesOn string
-	server    *http.Server
 	// phase is when its first heartbeat after the start comes, within the interval.
 	phase time.Duration
 
@@ -58,7 +55,6 @@
 	waiting int
 	// coldUntil is until when the backend is cold.
 	coldUntil time.Time
-	born      int64
 	arrivals  []arrival
 }
 
@@ -72,15 +68,12 @@
 	}
 	b.address = l.Addr().String()
 	b.sem = make(chan struct{}, b.slots)
-	b.serve(l)
-	b.born = time.Now().UnixMilli()
+	go func() { _ = http.Serve(l, b) }()
+	born := time.Now().UnixMilli()
 	beat := func(sequence int) {
-		if b.isDown() {
-			return
-		}
 		entry, _ := json.Marshal(map[string]any{
 			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots,
-			"state": "ready", "cold-remaining": fmt.Sprintf("%dms", max(0, time.Until(b.coldEnd())).Milliseconds()), "sequence": sequence, "born": b.bornAt(),
+			"state": "ready", "cold-remaining": fmt.Sprintf("%dms", max(0, time.Until(b.coldEnd())).Milliseconds()), "sequence": sequence, "born": born,
 		})
 		s.put("keyed.servers", "servers/"+b.id, entry)
 	}
@@ -181,11 +174,6 @@
 	b.runs = append(b.runs, work)
 	b.mu.Unlock()
 	defer func() { <-b.sem }()
-	if b.crashesOn != "" && r.URL.Path == b.crashesOn {
-		b.end(work, true)
-		b.crash()
-		return
-	}
 	if !b.work(r) {
 		b.end(work, true)
 		return
@@ -242,52 +230,5 @@
 		}
 		return err
 	}}
-	address := b.address
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	return c.Listen(context.Background(), "tcp", address)
-}
-
-func (b *backend) serve(l net.Listener) {
-	s := &http.Server{Handler: b}
-	b.mu.Lock()
-	b.server = s
-	b.mu.Unlock()
-	go func() { _ = s.Serve(l) }()
-}
-
-func (b *backend) bornAt() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.born
-}
-
-// crash ends the listener and all connections, as the end of a process does, and starts the
-// backend again later, under its id and at its address.
-func (b *backend) crash() {
-	b.mu.Lock()
-	s := b.server
-	b.server = nil
-	b.mu.Unlock()
-	if s == nil {
-		return
-	}
-	_ = s.Close()
-	time.AfterFunc(downAfterCrash, func() {
-		l, err := b.listen()
-		if err != nil {
-			return
-		}
-		b.mu.Lock()
-		b.born = time.Now().UnixMilli()
-		b.mu.Unlock()
-		b.serve(l)
-	})
-}
-
-func (b *backend) isDown() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.server == nil
+	return c.Listen(context.Background(), "tcp", "127.0.0.1:0")
 }
--- a/review/tool-3/cold.go
+++ b/review/tool-3/cold.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["15"] = playCold }
+func init() { cases["14"] = playCold }
 
 // Figures of the case. The bounds, the cold rate and the cold start are those of the users'
 // pages.
--- a/review/tool-3/store.go
+++ b/review/tool-3/store.go
@@ -24,8 +24,6 @@
 	topics  map[string]*topic
 	changed chan struct{}
 	busy    bool
-	// appends holds the bodies of what the system appended.
-	appends int
 }
 
 type topic struct {
@@ -147,7 +145,6 @@
 		s.append(name, append([]byte(nil), body[4:4+n]...))
 		body = body[4+n:]
 	}
-	s.appends++
 	_ = json.NewEncoder(w).Encode(map[string]int{"offset": end, "end-offset": len(t.records)})
 }
 
