--- a/review/tool-3/upload.go
+++ b/review/tool-3/upload.go
@@ -10,24 +10,26 @@
 
 func init() { cases["12"] = playUpload }
 
-// Figures of the case. Sizes, work times, slots and the slow-down are those of the users' site.
+// Figures of the case. Size, work time, slots and time budget are those of the users' site.
 const (
+	// uploadBytes and uploadWork are the largest of the site.
 	uploadBytes    = 360_000
-	uploadWork     = 310 * time.Millisecond
+	uploadWork     = 1900 * time.Millisecond
 	uploadDeadline = 6 * time.Second
 	uploadSlots    = 6
 	uploadBackends = 6
-	slowBackends   = 2
-	slowFactor     = 12
-	uploads        = 18
+	// slowBackends have half the speed of the others.
+	slowBackends = 2
+	slowFactor   = 2
+	uploads      = 18
 	// termAfter is when the SIGTERM comes after the uploads were sent.
 	termAfter = 300 * time.Millisecond
 	// lastSixth is when the last sixth of grace-period begins.
 	lastSixth = 5 * time.Second
 )
 
-// playUpload stops an instance while backends work on uploads that it has passed on, with
-// trouble while some backends are slow, and looks whether it breaks any of them off.
+// playUpload sends uploads to an instance, with trouble stops it while backends work on them,
+// and looks whether it breaks any of them off then. Nothing else disturbs the fleet.
 func playUpload(p *play) int {
 	p.putConfig(1, 0, 0)
 	if !p.addBackends("intake", uploadBackends, uploadSlots, uploadWork) {
@@ -35,13 +37,15 @@
 	}
 	for i, b := range p.backends {
 		b.readsInPieces = true
-		if p.trouble && i < slowBackends {
+		if i < slowBackends {
 			b.workTime *= slowFactor
 		}
 	}
 	if !p.startFleet(6) {
 		return cannotRun
 	}
+	// Longer than contact.
+	time.Sleep(4 * time.Second)
 	entry := p.fleet.instances[5]
 	body := make([]byte, uploadBytes)
 	var wg sync.WaitGroup
@@ -52,9 +56,11 @@
 		})
 	}
 	time.Sleep(termAfter)
-	entry.signal(syscall.SIGTERM)
 	term := time.Now()
-	p.printf("instance %d gets SIGTERM", entry.number)
+	if p.trouble {
+		entry.signal(syscall.SIGTERM)
+		p.printf("instance %d gets SIGTERM", entry.number)
+	}
 	wg.Wait()
 	runs := make(map[string]run)
 	at := make(map[string]string)
@@ -79,6 +85,8 @@
 			p.printf("upload %s reached its time budget", a.id)
 		case a.got.Sub(term) >= lastSixth:
 			p.printf("upload %s lasted into the last sixth of grace-period", a.id)
+		case !p.trouble:
+			p.printf("upload %s was broken off without planned work, for which the rule does not hold", a.id)
 		default:
 			p.printf("upload %s was broken off %.3f s after SIGTERM while %s worked on it", a.id, a.got.Sub(term).Seconds(), at[a.id])
 			code = broken
