--- a/review/tool-3/backend.go
+++ b/review/tool-3/backend.go
@@ -45,6 +45,8 @@
 	// readsInPieces makes the backend work on the first piece of a body for three quarters of
 	// its work time before it reads the rest.
 	readsInPieces bool
+	// coldCrash is how many requests within a second crash the backend while it is cold; 0 for none.
+	coldCrash int
 	// phase is when its first heartbeat after the start comes, within the interval.
 	phase time.Duration
 
@@ -56,6 +58,10 @@
 	// coldUntil is until when the backend is cold.
 	coldUntil time.Time
 	arrivals  []arrival
+	// server is nil while the backend is down after a crash.
+	server  *http.Server
+	born    int64
+	crashes int
 }
 
 // queueLength is how many requests wait at a backend beside those that run.
@@ -68,9 +74,12 @@
 	}
 	b.address = l.Addr().String()
 	b.sem = make(chan struct{}, b.slots)
-	go func() { _ = http.Serve(l, b) }()
-	born := time.Now().UnixMilli()
+	b.serve(l)
 	beat := func(sequence int) {
+		born, up := b.lifetime()
+		if !up {
+			return
+		}
 		entry, _ := json.Marshal(map[string]any{
 			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots,
 			"state": "ready", "cold-remaining": fmt.Sprintf("%dms", max(0, time.Until(b.coldEnd())).Milliseconds()), "sequence": sequence, "born": born,
@@ -134,6 +143,7 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Trefoilstream-Instance-Id", b.id)
+		w.Header().Set("X-Trefoilstream-Cold-Milliseconds", fmt.Sprint(max(0, time.Until(b.coldEnd())).Milliseconds()))
 		return
 	}
 	id := r.Header.Get(headerID)
@@ -149,11 +159,16 @@
 	}
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, arrival{id, time.Now()})
+	crashes := b.coldCrash > 0 && b.coldLoad() >= b.coldCrash
 	full := b.waiting >= queueLength
 	if !full {
 		b.waiting++
 	}
 	b.mu.Unlock()
+	if crashes {
+		b.crash()
+		return
+	}
 	if full {
 		b.notRun(w, http.StatusServiceUnavailable)
 		return
@@ -230,5 +245,71 @@
 		}
 		return err
 	}}
-	return c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	address := b.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// serve begins a lifetime of the backend.
+func (b *backend) serve(l net.Listener) {
+	s := &http.Server{Handler: b}
+	b.mu.Lock()
+	b.server, b.born = s, time.Now().UnixMilli()
+	b.mu.Unlock()
+	go func() { _ = s.Serve(l) }()
+}
+
+// lifetime returns when the backend started, and whether it is up.
+func (b *backend) lifetime() (born int64, up bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.born, b.server != nil
+}
+
+// coldLoad returns how many requests arrived in the last second, or 0 if the backend is warm.
+// The caller holds mu.
+func (b *backend) coldLoad() int {
+	now := time.Now()
+	if now.After(b.coldUntil) {
+		return 0
+	}
+	n := 0
+	for _, a := range b.arrivals {
+		if now.Sub(a.at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// downAfterCrash is how long a backend is away after a crash.
+const downAfterCrash = 3 * time.Second
+
+// crash ends the listener and all connections, as the end of a process does, and starts the
+// backend again later, under its id and at its address.
+func (b *backend) crash() {
+	b.mu.Lock()
+	s := b.server
+	b.server = nil
+	if s != nil {
+		b.crashes++
+	}
+	b.mu.Unlock()
+	if s == nil {
+		return
+	}
+	_ = s.Close()
+	time.AfterFunc(downAfterCrash, func() {
+		if l, err := b.listen(); err == nil {
+			b.serve(l)
+		}
+	})
+}
+
+func (b *backend) crashCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes
 }
--- a/review/tool-3/cold.go
+++ b/review/tool-3/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 )
@@ -16,14 +15,22 @@
 	coldAllowed   = 9.5*1.5 + 5
 	evacuatedFor  = 5 * time.Second
 	killAfterBack = 200 * time.Millisecond
-	coldTraffic   = 600 // requests a second
+	coldTraffic   = 800 // requests a second
+	// coldCrash is well above what a cold backend bears: twice what the rule allows.
+	coldCrash = 39
 )
 
 // playCold empties a zone and takes it back, when its backends are cold, and with trouble
 // kills the coordinator just after that. It counts what reached each cold backend in a second.
 func playCold(p *play) int {
 	p.putConfig(1, 0, 0)
-	if !p.addBackends("desk", 3, 2, 20*time.Millisecond) || !p.addBackends("board", 12, 4, 20*time.Millisecond) || !p.startFleet(6) {
+	if !p.addBackends("board", 12, 4, 20*time.Millisecond) {
+		return cannotRun
+	}
+	for _, b := range p.backends {
+		b.coldCrash = coldCrash
+	}
+	if !p.startFleet(6) {
 		return cannotRun
 	}
 	first := p.fleet.coordinator()
@@ -33,7 +40,8 @@
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	wg.Go(func() { p.sendSteadily(stop, first) })
+	t := &traffic{sentAt: make(map[string]time.Time)}
+	wg.Go(func() { p.sendSteadily(stop, first, t) })
 	time.Sleep(4 * time.Second)
 	p.store.put("keyed.op", "op/evacuate/zone-a", []byte("{}"))
 	p.printf("zone-a is to get nothing")
@@ -58,11 +66,17 @@
 	time.Sleep(time.Until(back.Add(coldStart + 2*time.Second)))
 	close(stop)
 	wg.Wait()
-	return p.judgeCold(back)
+	return p.judgeCold(back, t)
+}
+
+// traffic is what clients have sent.
+type traffic struct {
+	mu     sync.Mutex
+	sentAt map[string]time.Time
 }
 
 // sendSteadily sends lookups to all instances in turn, but to none that has ended.
-func (p *play) sendSteadily(stop <-chan struct{}, mayEnd *instance) {
+func (p *play) sendSteadily(stop <-chan struct{}, mayEnd *instance, t *traffic) {
 	c := newClient(64)
 	var wg sync.WaitGroup
 	for n := 0; ; n++ {
@@ -78,35 +92,43 @@
 		}
 		wg.Go(func() {
 			a := ask(c, i.callers, http.MethodGet, "/look/1", 2*time.Second)
+			t.mu.Lock()
+			t.sentAt[a.id] = a.sent
+			t.mu.Unlock()
 			p.printf("request %s sent to %d at %.3f, answered at %.3f with %d %v", a.id, i.number, p.at(a.sent), p.at(a.got), a.status, a.err)
 		})
 	}
 }
 
-// judgeCold looks for the second in which most requests reached a cold backend.
-func (p *play) judgeCold(back time.Time) int {
+// judgeCold looks for the second in which most requests were sent and reached a cold backend.
+func (p *play) judgeCold(back time.Time, t *traffic) int {
+	type hit struct{ sent, at time.Time }
 	code, total := held, 0
 	for _, b := range p.backends {
 		if b.zone != "zone-a" {
 			continue
 		}
-		var cold []time.Time
+		var cold []hit
 		for _, a := range b.allArrivals() {
 			if !a.at.Before(back) && a.at.Before(back.Add(coldStart)) {
-				cold = append(cold, a.at)
-				p.printf("request %s reached %s, which is cold, at %.3f", a.id, b.id, p.at(a.at))
+				cold = append(cold, hit{t.sentAt[a.id], a.at})
+				p.printf("request %s sent at %.3f reached %s, which is cold, at %.3f", a.id, p.at(t.sentAt[a.id]), b.id, p.at(a.at))
 			}
 		}
-		sort.Slice(cold, func(i, j int) bool { return cold[i].Before(cold[j]) })
-		most, at := 0, back
-		for i := range cold {
-			n := sort.Search(len(cold)-i, func(k int) bool { return cold[i+k].Sub(cold[i]) >= time.Second })
+		most, from := 0, back
+		for _, first := range cold {
+			n := 0
+			for _, h := range cold {
+				if !h.sent.Before(first.sent) && h.at.Before(first.sent.Add(time.Second)) {
+					n++
+				}
+			}
 			if n > most {
-				most, at = n, cold[i]
+				most, from = n, first.sent
 			}
 		}
 		total += len(cold)
-		p.printf("%s: %d requests while it was cold, at most %d in a second, from %.3f; allowed are %.2f", b.id, len(cold), most, p.at(at), coldAllowed)
+		p.printf("%s: %d requests while it was cold, at most %d sent and arrived in a second, from %.3f; allowed are %.2f; it crashed %d times", b.id, len(cold), most, p.at(from), coldAllowed, b.crashCount())
 		if float64(most) > coldAllowed {
 			code = broken
 		}
