--- a/review/tool-3/cold.go
+++ b/review/tool-3/cold.go
@@ -16,6 +16,8 @@
 	evacuatedFor  = 5 * time.Second
 	killAfterBack = 200 * time.Millisecond
 	coldTraffic   = 800 // requests a second
+	// Each of so many requests is a booking.
+	bookingEach = 5
 	// coldCrash is well above what a cold backend bears: twice what the rule allows.
 	coldCrash = 39
 )
@@ -40,7 +42,7 @@
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	t := &traffic{sentAt: make(map[string]time.Time)}
+	t := &traffic{answers: make(map[string]answer), bookings: make(map[string]bool)}
 	wg.Go(func() { p.sendSteadily(stop, first, t) })
 	time.Sleep(4 * time.Second)
 	p.store.put("keyed.op", "op/evacuate/zone-a", []byte("{}"))
@@ -71,11 +73,13 @@
 
 // traffic is what clients have sent.
 type traffic struct {
-	mu     sync.Mutex
-	sentAt map[string]time.Time
+	mu      sync.Mutex
+	answers map[string]answer
+	// bookings holds the ids of those that may run once at most.
+	bookings map[string]bool
 }
 
-// sendSteadily sends lookups to all instances in turn, but to none that has ended.
+// sendSteadily sends lookups and bookings to all instances in turn, but to none that has ended.
 func (p *play) sendSteadily(stop <-chan struct{}, mayEnd *instance, t *traffic) {
 	c := newClient(64)
 	var wg sync.WaitGroup
@@ -91,9 +95,14 @@
 			continue
 		}
 		wg.Go(func() {
-			a := ask(c, i.callers, http.MethodGet, "/look/1", 2*time.Second)
+			method, path := http.MethodGet, "/look/1"
+			if n%bookingEach == 0 {
+				method, path = http.MethodPost, "/note/1"
+			}
+			a := ask(c, i.callers, method, path, 2*time.Second)
 			t.mu.Lock()
-			t.sentAt[a.id] = a.sent
+			t.answers[a.id] = a
+			t.bookings[a.id] = method == http.MethodPost
 			t.mu.Unlock()
 			p.printf("request %s sent to %d at %.3f, answered at %.3f with %d %v", a.id, i.number, p.at(a.sent), p.at(a.got), a.status, a.err)
 		})
@@ -103,7 +112,7 @@
 // judgeCold looks for the second in which most requests were sent and reached a cold backend.
 func (p *play) judgeCold(back time.Time, t *traffic) int {
 	type hit struct{ sent, at time.Time }
-	code, total := held, 0
+	code, total, lost := held, 0, make(map[string]bool)
 	for _, b := range p.backends {
 		if b.zone != "zone-a" {
 			continue
@@ -111,8 +120,11 @@
 		var cold []hit
 		for _, a := range b.allArrivals() {
 			if !a.at.Before(back) && a.at.Before(back.Add(coldStart)) {
-				cold = append(cold, hit{t.sentAt[a.id], a.at})
-				p.printf("request %s sent at %.3f reached %s, which is cold, at %.3f", a.id, p.at(t.sentAt[a.id]), b.id, p.at(a.at))
+				cold = append(cold, hit{t.answers[a.id].sent, a.at})
+				if status := t.answers[a.id].status; b.crashCount() > 0 && t.bookings[a.id] && status != http.StatusOK && status != http.StatusServiceUnavailable {
+					lost[a.id] = true
+				}
+				p.printf("request %s sent at %.3f reached %s, which is cold, at %.3f", a.id, p.at(t.answers[a.id].sent), b.id, p.at(a.at))
 			}
 		}
 		most, from := 0, back
@@ -133,6 +145,7 @@
 			code = broken
 		}
 	}
+	p.printf("%d bookings that had reached a cold backend which crashed were lost: no success and no promise that they did not run", len(lost))
 	if total == 0 {
 		p.printf("nothing reached a cold backend")
 		return cannotRun
--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -122,7 +122,7 @@
 // of 0 is no limit.
 func (p *play) putConfig(version, rate, burst int) {
 	p.store.put("keyed.op", "op/config", fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","path-prefix","kind","timeout","target-latency","priority","service","max-attempts","public","traffic-split"],
-"rows":[["r-book","shop.example","/book/","unsafe","2500ms","1000ms",1,"desk",2,false,null],["r-look","shop.example","/look/","safe","2000ms","1000ms",2,"board",2,false,null],["r-scan","shop.example","/scan/","download","15000ms","2000ms",2,"vault",2,false,null],["r-up","shop.example","/up/","upload","6000ms","1200ms",1,"intake",2,false,null]]},
+"rows":[["r-book","shop.example","/book/","unsafe","2500ms","1000ms",1,"desk",2,false,null],["r-look","shop.example","/look/","safe","2000ms","1000ms",2,"board",2,false,null],["r-note","shop.example","/note/","unsafe","2000ms","1000ms",1,"board",2,false,null],["r-scan","shop.example","/scan/","download","15000ms","2000ms",2,"vault",2,false,null],["r-up","shop.example","/up/","upload","6000ms","1200ms",1,"intake",2,false,null]]},
 "services":{"columns":["name","health-check-path","connection-limit","protocol","tls","cold-start","cold-per-s"],"rows":[["desk","/health",360,"h1",false,"3s",9.5],["board","/health",360,"h1",false,"3s",9.5],["intake","/health",390,"h1",false,"3s",9.5],["vault","/health",360,"h1",false,"3s",9.5]]},
 "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"},
 "tenants":{"columns":["name","api-keys","priority","rate-per-s","burst"],"rows":[["tenant-1",["key-1"],0,%d,%d]]}}`, version, rate, burst))
