--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and clients that the scripts of cases 11 to 15 start.
+# Builds the stand-ins and clients that the scripts of cases 11 to 14 start.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
