fleet: an instance without an agreed roster goes to the store, not to a successor

Cause: an instance chose its next step from the order of succession as soon as its roster held two others. A roster gathered from queries never names the instance itself, so its turn never comes; all instances waited for each other, and none called the store again.

Evidence: the stand-in for the store had counted 17 calls before it came back and still 17 after 15 s of serving; coordinator_started is in no log since the kill.

The succession now counts only for instances that have followed a coordinator, which sends all of them the same roster. Others search through the seeds, the instances they know and the store until one is found. Store queries that fail are spread at random and slow down to one a second, rounds of queries to two a second. On related paths: an instance whose roster does not name it, the last one of two, and one that stepped down do not depend on the store any more. An instance without a coordinator logs coordinator_not_found.

--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -27,8 +27,12 @@
 	// freshRecordAge is the age up to which the recorded coordinator may have just
 	// started: it is busy with joining members and replies late.
 	freshRecordAge = 5 * time.Second
-	// searchRoundInterval is the time between rounds of queries.
-	searchRoundInterval = 30 * time.Millisecond
+	// searchRoundInterval is the time between the first rounds of queries. It doubles
+	// every searchRoundsPerDoubling rounds, up to maxSearchRoundInterval: all instances
+	// search at the same time if the store is away when they start.
+	searchRoundInterval     = 30 * time.Millisecond
+	searchRoundsPerDoubling = 20
+	maxSearchRoundInterval  = 480 * time.Millisecond
 	// skipCandidateRounds is the number of rounds after which a candidate that
 	// replies but does not take over is skipped.
 	skipCandidateRounds = 20
@@ -46,15 +50,22 @@
 	maxRestartStoreDelay     = 400 * time.Millisecond
 	// storeCallTimeout bounds a call to the store.
 	storeCallTimeout = 600 * time.Millisecond
-	// storeQueryInterval is the time between store queries of an instance without
-	// a coordinator.
-	storeQueryInterval = 500 * time.Millisecond
+	// storeQueryInterval is the time between store queries of an instance without a
+	// coordinator. Its mean doubles with each failure, up to maxStoreQueryInterval.
+	storeQueryInterval    = 500 * time.Millisecond
+	maxStoreQueryInterval = time.Second
 	// reattachDelay is how long a lost coordinator, or one that could not be
 	// attached to, is not tried again.
 	reattachDelay = 500 * time.Millisecond
 	// maxElectionWait is how long a starting instance leaves it to the recorded
 	// successors to find a coordinator before it claims the role itself.
 	maxElectionWait = 2 * time.Second
+	// bootstrapPeers is how many known instances, besides the seeds and the recorded
+	// ones, are queried in a round.
+	bootstrapPeers = 4
+	// searchLogInterval is the time between log lines of an instance without a
+	// coordinator.
+	searchLogInterval = 2 * time.Second
 )
 
 // coordinatorFinder finds a coordinator for an instance that has none.
@@ -64,7 +75,11 @@
 	lostCoordinator string
 	lostAt          time.Time
 	nextStoreQuery  time.Time
-	startedAt       time.Time
+	// storeFailures is the number of store queries in a row that failed.
+	storeFailures int
+	startedAt     time.Time
+	// searchingSince is when the current search began, loggedAt when it was last logged.
+	searchingSince, loggedAt time.Time
 	// storeDelay is the delay before the first store query.
 	storeDelay time.Duration
 	// blockedUntil maps the addresses of coordinators that were lost or could not
@@ -120,6 +135,7 @@
 		f.startedAt = time.Now()
 		f.storeDelay = initialStoreDelay(f.fleet.opts.FirstStart, f.fleet.opts.Self.Capacity, rand.Float64())
 	}
+	f.searchingSince, f.loggedAt = time.Now(), time.Now()
 	for round := 0; ctx.Err() == nil; round++ {
 		action := f.runRound(ctx, round)
 		if action.TakeOver && f.fleet.isLeaving() {
@@ -128,21 +144,48 @@
 		if action.TakeOver || action.Attach != "" {
 			return action.Attach, action.TakeOver
 		}
-		sleep(ctx, searchRoundInterval)
+		f.logSearch(time.Now())
+		sleep(ctx, searchRoundDelay(round))
 	}
 	return "", false
 }
 
+// searchRoundDelay returns the time between a round of queries and the next one.
+func searchRoundDelay(round int) time.Duration {
+	doublings := min(round/searchRoundsPerDoubling, 10)
+	return min(maxSearchRoundInterval, searchRoundInterval<<doublings)
+}
+
+// storeQueryDelay returns the time from a store query to the next one after a number of
+// failures, at least 1. Jitter is a random number from 0 to 1; it spreads the calls of
+// instances that started together.
+func storeQueryDelay(failures int, jitter float64) time.Duration {
+	mean := min(maxStoreQueryInterval, storeQueryInterval<<min(failures-1, 10))
+	return time.Duration(float64(mean) * (0.5 + jitter))
+}
+
+// logSearch logs now and then that this instance still has no coordinator.
+func (f *coordinatorFinder) logSearch(now time.Time) {
+	if now.Sub(f.loggedAt) < searchLogInterval {
+		return
+	}
+	f.loggedAt = now
+	log.WithFields(log.Fields{
+		"event": "coordinator_not_found", "searching_ms": now.Sub(f.searchingSince).Milliseconds(), "lost": f.lostCoordinator,
+		"has_followed": f.fleet.hasFollowedOne(), "known": len(f.fleet.replica.rosterWithout(f.fleet.opts.Self.Address)), "store_failures": f.storeFailures,
+	}).Warn("no coordinator found yet")
+}
+
 // runRound queries the first candidates in succession order for their coordinator
 // and decides what to do next.
 func (f *coordinatorFinder) runRound(ctx context.Context, round int) election.Action {
 	self := f.fleet.opts.Self.Address
 	roster := f.fleet.replica.rosterWithout(f.lostCoordinator)
-	// An instance that was asked by a single other one has no roster yet, and that one may
-	// know no more. After stepping down, a single other one is what its roster is without
-	// itself.
-	steppedDown := f.lostCoordinator == self
-	if len(roster) == 0 || len(roster) == 1 && !steppedDown {
+	inRoster := slices.ContainsFunc(roster, func(p Peer) bool { return p.Address == self })
+	// Only instances that have followed a coordinator share a roster, and with it the order
+	// of succession. Others know those that happened to query them. After stepping
+	// down, a single other instance is what the roster is without this one.
+	if !f.fleet.hasFollowedOne() || len(roster) == 0 || len(roster) == 1 && inRoster {
 		return f.bootstrap(ctx)
 	}
 	candidates := election.Candidates(election.SuccessionOrder(roster), self, round/2)
@@ -161,7 +204,7 @@
 	if action.TakeOver && !electing && f.leaveToSuccessors(time.Now(), replies) {
 		return election.Action{}
 	}
-	if steppedDown && action == (election.Action{}) {
+	if !inRoster && action == (election.Action{}) {
 		// This instance is no candidate, so it would wait for ever if nobody else takes over.
 		return f.bootstrap(ctx)
 	}
@@ -179,22 +222,27 @@
 	return out
 }
 
-// bootstrap finds a coordinator for an instance without a roster, from the seeds
-// or from the store.
+// bootstrap finds a coordinator for an instance that cannot rely on the succession, from the
+// seeds, other instances that it knows, or the store.
 func (f *coordinatorFinder) bootstrap(ctx context.Context) election.Action {
 	self := f.fleet.opts.Self.Address
 	var addresses []string
-	for _, address := range slices.Concat(f.fleet.opts.Seeds, f.recorded) {
+	for _, address := range slices.Concat(f.fleet.opts.Seeds, f.recorded, f.sampleKnown()) {
 		if address != self && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
 	blocked := f.blockedCoordinators()
 	replies := f.queryAllBriefly(ctx, addresses)
+	coordinated := false
 	for _, r := range replies {
-		if r.Reached && r.Coordinator != "" && r.Coordinator != self && !blocked[r.Coordinator] {
+		if !r.Reached || r.Coordinator == "" || r.Coordinator == self {
+			continue
+		}
+		if !blocked[r.Coordinator] {
 			return election.Action{Attach: r.Coordinator}
 		}
+		coordinated = true
 	}
 	now := time.Now()
 	if f.leaveToSuccessors(now, replies) {
@@ -205,19 +253,46 @@
 		return election.Action{}
 	}
 	f.nextStoreQuery = now.Add(storeQueryInterval)
-	return f.followOrClaim(ctx)
+	action, err := f.followOrClaim(ctx)
+	if err == nil {
+		f.storeFailures = 0
+		return action
+	}
+	f.storeFailures++
+	f.nextStoreQuery = now.Add(storeQueryDelay(f.storeFailures, rand.Float64()))
+	return election.Action{TakeOver: !coordinated && f.mayTakeOverUnrecorded(time.Now())}
+}
+
+// mayTakeOverUnrecorded reports whether this instance may take over although the store is
+// away, after it has found no other coordinator. One that has never followed any has
+// nothing to coordinate by. One that stepped down gives the others time to take over.
+func (f *coordinatorFinder) mayTakeOverUnrecorded(now time.Time) bool {
+	steppedDown := f.lostCoordinator == f.fleet.opts.Self.Address
+	return f.fleet.hasFollowedOne() && (!steppedDown || now.Sub(f.searchingSince) >= maxElectionWait)
+}
+
+// sampleKnown returns the addresses of random instances that this one knows, for example
+// since they have queried it.
+func (f *coordinatorFinder) sampleKnown() []string {
+	peers := f.fleet.replica.rosterWithout(f.fleet.opts.Self.Address)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var out []string
+	for _, p := range peers[:min(len(peers), bootstrapPeers)] {
+		out = append(out, p.Address)
+	}
+	return out
 }
 
 // followOrClaim follows the recorded coordinator, or claims its role in the store
-// if it does not reply.
-func (f *coordinatorFinder) followOrClaim(ctx context.Context) election.Action {
+// if it does not reply. An error means that the store could not be read or written.
+func (f *coordinatorFinder) followOrClaim(ctx context.Context) (election.Action, error) {
 	o := f.fleet.opts
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	recorded, end, err := o.Source.Coordinator(callCtx, o.Store)
 	if err != nil {
 		log.WithField("event", "store_unavailable").WithError(err).Warn("could not read the coordinator record")
-		return election.Action{}
+		return election.Action{}, err
 	}
 	if recorded != nil && recorded.Address != o.Self.Address {
 		query := f.queryAllBriefly
@@ -233,11 +308,11 @@
 		replies := query(ctx, f.recorded)
 		for _, r := range replies {
 			if r.Reached && r.Coordinator != "" && r.Coordinator != o.Self.Address {
-				return election.Action{Attach: r.Coordinator}
+				return election.Action{Attach: r.Coordinator}, nil
 			}
 		}
 		if f.leaveToSuccessors(time.Now(), replies) {
-			return election.Action{}
+			return election.Action{}, nil
 		}
 	}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, storeCallTimeout)
@@ -245,12 +320,12 @@
 	won, err := o.Source.Claim(claimCtx, o.Store, f.fleet.newRecord(), end.Offset)
 	if err != nil {
 		log.WithField("event", "store_unavailable").WithError(err).Warn("could not write the coordinator record")
-		return election.Action{}
+		return election.Action{}, err
 	}
 	if !won {
 		f.nextStoreQuery = time.Time{}
 	}
-	return election.Action{TakeOver: won}
+	return election.Action{TakeOver: won}, nil
 }
 
 // leaveToSuccessors reports whether an instance that replied has lost its coordinator and
--- a/internal/fleet/discovery_test.go
+++ b/internal/fleet/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -127,3 +128,88 @@
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
+
+// Guards against a fleet that never serves after all its instances started while the store was
+// away: each had been queried by others, took them for successors, and nobody went to the
+// store any more.
+func TestFleetStartsOnceTheStoreIsBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		instances int
+		silent    bool
+		// noSeeds is set if the instances get no seed that runs.
+		noSeeds bool
+	}{
+		"one instance":              {instances: 1},
+		"two instances":             {instances: 2},
+		"two, seeds gone":           {instances: 2, noSeeds: true},
+		"six, store refuses":        {instances: 6},
+		"six, store is silent":      {instances: 6, silent: true},
+		"six, seeds gone":           {instances: 6, noSeeds: true},
+		"forty, store refuses":      {instances: 40},
+		"forty, silent, seeds gone": {instances: 40, silent: true, noSeeds: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newTestFleet(t, 0)
+			away := fleet.store.refusedInstances
+			if c.silent {
+				away = fleet.store.silentInstances
+			}
+			for i := range c.instances {
+				away[fmt.Sprint(i)] = true
+			}
+			var listeners []net.Listener
+			for range c.instances {
+				listeners = append(listeners, fleet.listen())
+			}
+			seeds := []string{"127.0.0.1:1"}
+			for _, l := range listeners[:min(3, len(listeners))] {
+				if !c.noSeeds {
+					seeds = append(seeds, l.Addr().String())
+				}
+			}
+			for i, l := range listeners {
+				fleet.addListening(i, l, func(o *Options) { o.Seeds = seeds })
+			}
+			time.Sleep(2 * time.Second)
+			fleet.store.mu.Lock()
+			clear(away)
+			fleet.store.mu.Unlock()
+			eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+		})
+	}
+}
+
+// Guards against an instance that has lost the only other one and waits for the store although
+// it knows all that it needs.
+func TestLastInstanceTakesOverWithoutTheStore(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	coordinator := fleet.coordinators(-1)[0]
+	fleet.store.mu.Lock()
+	for i := range fleet.instances {
+		fleet.store.refusedInstances[fmt.Sprint(i)] = true
+	}
+	fleet.store.mu.Unlock()
+	fleet.stops[coordinator]()
+	eventually(t, "the other instance coordinates", func() bool { return fleet.ready(coordinator) })
+}
+
+// Guards against a store that is swamped, while it is away and as it comes back, by instances
+// that query it at the same time.
+func TestStoreQueriesBackOff(t *testing.T) {
+	for failures := 1; failures < 40; failures++ {
+		least, most := storeQueryDelay(failures, 0), storeQueryDelay(failures, 1)
+		if least <= 0 || most > 2*maxStoreQueryInterval || most < 2*least {
+			t.Errorf("after %d failures the next query is due in %v to %v", failures, least, most)
+		}
+	}
+	if d := storeQueryDelay(10, 0.5); d != maxStoreQueryInterval {
+		t.Errorf("after 10 failures the next query is due in %v", d)
+	}
+	if d := searchRoundDelay(0); d != searchRoundInterval {
+		t.Errorf("the second round comes after %v", d)
+	}
+	if d := searchRoundDelay(1 << 20); d != maxSearchRoundInterval {
+		t.Errorf("late rounds come after %v", d)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -241,6 +241,13 @@
 // caller holds mu.
 func (f *Fleet) electing() bool { return f.hasFollowed && f.followedCoordinator == "" && !f.leaving }
 
+// hasFollowedOne reports whether this instance has ever followed a coordinator, or been one.
+func (f *Fleet) hasFollowedOne() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hasFollowed
+}
+
 func (f *Fleet) isElecting() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -212,11 +212,22 @@
 
 // addWith adds an instance whose options change alters.
 func (fleet *testFleet) addWith(i int, change func(*Options)) *Fleet {
+	fleet.t.Helper()
+	return fleet.addListening(i, fleet.listen(), change)
+}
+
+func (fleet *testFleet) listen() net.Listener {
 	fleet.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fleet.t.Fatal(err)
 	}
+	return l
+}
+
+// addListening adds an instance that serves others on a listener.
+func (fleet *testFleet) addListening(i int, l net.Listener, change func(*Options)) *Fleet {
+	fleet.t.Helper()
 	name := fmt.Sprint(i)
 	opts := Options{
 		Self:   Peer{Name: name, Address: l.Addr().String(), Domain: []string{"a", "b"}[i%2], Capacity: 1},
