fleet: a lost member counts as missing however its connection ended

Cause: the coordinator kept a member in the count of its fleet only if the member fell silent. A reset, a refusal or the end of the stream was taken for the end of the process, so the coordinator went on with the whole rate while those that were cut off followed another one, which granted its part too.

How a connection ended is no longer an argument: presence.View, a new package of decisions without I/O or clock, counts a lost member as missing until it joins again, or if it had announced that it leaves. Rates, retry budgets, limits of servers and cold starts all use that share.

The older tests of rates use presence.View instead of a share that they computed themselves; their bounds are unchanged.

member_lost names the error and the number of missing instances; its field "silent" decided nothing any more and is gone.

--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/presence"
 )
 
 // quotaMember is an instance of a quotaFleet.
@@ -26,9 +27,8 @@
 
 type quotaCoordinator struct {
 	d        *Dispatcher
-	reported map[*quotaMember]bool
-	// roster is how many instances it counts as members or as unreachable.
-	roster int
+	reported map[string]bool
+	view     *presence.View
 }
 
 // quotaFleet plays a team that sends far more than its rate while coordinators come and go,
@@ -58,18 +58,23 @@
 	clear(m.pending)
 }
 
-// takeOver makes a new coordinator of a roster of instances, which members join one after
-// the other.
-func (q *quotaFleet) takeOver(members []*quotaMember, roster int) *quotaCoordinator {
-	c := &quotaCoordinator{d: New(q.now, testBounds, &testPolicy, q.rng.Uint64()), reported: make(map[*quotaMember]bool), roster: roster}
+// takeOver makes a new coordinator of all instances, which members join one after the
+// other.
+func (q *quotaFleet) takeOver(members []*quotaMember) *quotaCoordinator {
+	var roster []string
+	for _, m := range q.members {
+		roster = append(roster, m.name)
+	}
+	c := &quotaCoordinator{
+		d: New(q.now, testBounds, &testPolicy, q.rng.Uint64()), reported: make(map[string]bool), view: presence.NewView(q.now, roster),
+	}
 	config := testConfig()
 	config.Teams = []catalog.Team{q.team}
 	c.d.SetConfig(q.now, config)
 	for i := range 40 {
 		c.d.SetServer(q.now, catalog.Server{ID: fmt.Sprint(i), Service: "desk", Address: "x:1", Domain: "a", Slots: 1000})
 	}
-	c.d.SetConnectedShare(q.now, 0)
-	c.d.SetReportedShare(q.now, 0)
+	q.share(c)
 	for i, m := range members {
 		m.next, m.joinsAt = c, q.now
 		if i > 0 {
@@ -85,6 +90,12 @@
 	}
 	c := m.coordinator
 	m.coordinator = nil
+	q.notice(m, c)
+}
+
+// notice lets a coordinator know that the connection of a member has ended.
+func (q *quotaFleet) notice(m *quotaMember, c *quotaCoordinator) {
+	c.view.Lose(q.now, m.name)
 	c.d.RemoveMember(q.now, m.name)
 	q.share(c)
 }
@@ -93,8 +104,9 @@
 	m.coordinator, m.next = c, nil
 	c.d.InheritAdmissions(q.now, m.process, m.admissions.Reports(q.now))
 	if q.now.Sub(m.startedAt) >= testBounds.QuotaWindow {
-		c.reported[m] = true
+		c.reported[m.name] = true
 	}
+	c.view.Join(m.name)
 	c.d.SetMember(m.name, "a", 1, false)
 	q.share(c)
 	for n, at := range m.pending {
@@ -103,17 +115,8 @@
 }
 
 func (q *quotaFleet) share(c *quotaCoordinator) {
-	connected, reported := 0, 0
-	for _, m := range q.members {
-		if m.coordinator == c {
-			connected++
-			if c.reported[m] {
-				reported++
-			}
-		}
-	}
-	c.d.SetConnectedShare(q.now, min(1, float64(connected)/float64(c.roster)))
-	c.d.SetReportedShare(q.now, min(1, float64(reported)/float64(c.roster)))
+	c.d.SetConnectedShare(q.now, c.view.Share())
+	c.d.SetReportedShare(q.now, c.view.ShareOf(func(name string) bool { return c.reported[name] }))
 }
 
 func (q *quotaFleet) request(m *quotaMember, number uint64, at time.Time, again bool) {
@@ -125,6 +128,10 @@
 func (q *quotaFleet) decide(c *quotaCoordinator, decisions []Decision) {
 	for _, x := range decisions {
 		m := q.members[slices.IndexFunc(q.members, func(m *quotaMember) bool { return m.name == x.Member })]
+		if m.coordinator != c {
+			// The decision is lost with the connection.
+			continue
+		}
 		delete(m.pending, x.RequestNumber)
 		if x.Permit == nil {
 			q.refused++
@@ -195,7 +202,7 @@
 func TestSuccessorsStayWithinTheRate(t *testing.T) {
 	for seed := range uint64(25) {
 		q := newQuotaFleet(seed, 12)
-		q.takeOver(q.members, 12)
+		q.takeOver(q.members)
 		q.play(6*time.Second, 8*q.team.Rate)
 		for range 1 + q.rng.IntN(6) {
 			q.lose(q.members)
@@ -205,7 +212,7 @@
 				}
 			}
 			q.play(time.Duration(q.rng.IntN(1000))*time.Millisecond, 8*q.team.Rate)
-			q.takeOver(q.members, 12)
+			q.takeOver(q.members)
 			q.play(time.Duration(100+q.rng.IntN(2500))*time.Millisecond, 8*q.team.Rate)
 		}
 		q.play(5*time.Second, 8*q.team.Rate)
@@ -220,7 +227,7 @@
 func TestBothSidesOfAPartitionStayWithinTheRate(t *testing.T) {
 	for seed := range uint64(25) {
 		q := newQuotaFleet(seed, 20)
-		main := q.takeOver(q.members, 20)
+		main := q.takeOver(q.members)
 		q.play(6*time.Second, 8*q.team.Rate)
 		cut := q.members[:1+q.rng.IntN(14)]
 		var sides [][]*quotaMember
@@ -241,15 +248,17 @@
 		q.lose(cut)
 		q.play(800*time.Millisecond, 8*q.team.Rate)
 		if !lost {
-			q.share(main)
+			for _, m := range cut {
+				q.notice(m, main)
+			}
 		}
 		for _, side := range sides {
-			q.takeOver(side, 20)
+			q.takeOver(side)
 		}
 		q.play(time.Duration(500+q.rng.IntN(5000))*time.Millisecond, 8*q.team.Rate)
 		if lost {
 			q.lose(q.members)
-			q.takeOver(q.members, 20)
+			q.takeOver(q.members)
 		} else {
 			for _, m := range cut {
 				q.leave(m)
@@ -288,7 +297,7 @@
 	refused, sent := 0, uint64(0)
 	for seed := range uint64(20) {
 		q := newQuotaFleet(seed, 20)
-		q.takeOver(q.members, 20)
+		q.takeOver(q.members)
 		q.play(6*time.Second, 0.6*q.team.Rate)
 		before := q.refused
 		for range 2 {
@@ -296,7 +305,7 @@
 			q.lose(q.members)
 			q.restart(q.members[0])
 			q.play(800*time.Millisecond, 0.6*q.team.Rate)
-			q.takeOver(q.members, 20)
+			q.takeOver(q.members)
 			q.play(6*time.Second, 0.6*q.team.Rate)
 		}
 		refused += q.refused - before
@@ -312,7 +321,7 @@
 func TestAdmissionsAreInheritedOnce(t *testing.T) {
 	q := newQuotaFleet(1, 2)
 	m := q.members[0]
-	c := q.takeOver(nil, 1)
+	c := q.takeOver(nil)
 	c.d.SetConnectedShare(q.now, 1)
 	c.d.SetReportedShare(q.now, 1)
 	const first, second, other = 7, 8, 9
@@ -354,7 +363,7 @@
 // keeping those whose callers have left.
 func TestRequestsWaitForTheLimitsAfterATakeover(t *testing.T) {
 	q := newQuotaFleet(1, 2)
-	c := q.takeOver(nil, 4)
+	c := q.takeOver(nil)
 	d := c.d
 	d.SetMember("0", "a", 1, false)
 	d.SetConnectedShare(q.now, 0.25)
--- a/internal/fleet/conn.go
+++ b/internal/fleet/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"storj.io/drpc"
@@ -26,20 +27,30 @@
 // connection carries one call at a time.
 type connPool struct {
 	pool *drpcpool.Pool[string, *drpcconn.Conn]
+	dial DialFunc
 }
 
-func newConnPool() *connPool {
+// DialFunc connects to another instance.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+func newConnPool(dial DialFunc) *connPool {
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return sockopt.Dialer(peerDialTimeout).DialContext(ctx, "tcp", address)
+		}
+	}
 	opts := drpcpool.Options{Expiration: idlePeerConnTimeout, KeyCapacity: maxIdleConnsPerPeer}
-	return &connPool{pool: drpcpool.New[string, *drpcconn.Conn](opts)}
+	return &connPool{pool: drpcpool.New[string, *drpcconn.Conn](opts), dial: dial}
 }
 
 // get returns a connection that is dialed on its first call.
 func (p *connPool) get(ctx context.Context, address string) drpc.Conn {
-	return p.pool.Get(ctx, address, dialPeer)
+	return p.pool.Get(ctx, address, p.connect)
 }
 
-func dialPeer(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	conn, err := sockopt.Dialer(peerDialTimeout).DialContext(ctx, "tcp", address)
+// connect returns a new connection.
+func (p *connPool) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial instance %s: %w", address, err)
 	}
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"trefoilstream.example/trefoilstream/internal/catalog"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
+	"trefoilstream.example/trefoilstream/internal/presence"
 )
 
 const (
@@ -24,9 +27,6 @@
 	// maxMissedHeartbeats is the number of unanswered heartbeats after which a
 	// member is considered lost.
 	maxMissedHeartbeats = 4
-	// rosterRetention is how long a lost member stays in the roster and, if it may
-	// still be running, counts as unreachable.
-	rosterRetention = 30 * time.Second
 	// takeoverGracePeriod is how long a new coordinator waits for members to
 	// attach before it hands over to one of them.
 	takeoverGracePeriod = 1500 * time.Millisecond
@@ -59,13 +59,8 @@
 	// accepting is closed once members may join.
 	accepting chan struct{}
 	sessions  map[string]*memberSession
-	// unreachable maps the addresses of lost members that may still be running,
-	// e.g. behind a partition, to the time of the loss. A member whose
-	// connection was reset has ended and is not included.
-	unreachable map[string]time.Time
-	// disconnected maps the addresses of all lost members to the time of the
-	// loss. They are dropped from the roster if they do not reattach.
-	disconnected map[string]time.Time
+	// presence holds which instances are members and which are missing.
+	presence *presence.View
 	// reported holds the addresses of members that told what earlier coordinators
 	// admitted to them in the whole last quota window.
 	reported  map[string]bool
@@ -118,8 +113,7 @@
 func (f *Fleet) newCoordinator(cancel context.CancelFunc) *coordinator {
 	now := time.Now()
 	c := &coordinator{
-		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), unreachable: make(map[string]time.Time),
-		disconnected: make(map[string]time.Time), reported: make(map[string]bool), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
+		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), reported: make(map[string]bool), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
 		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
@@ -142,9 +136,7 @@
 	}
 	c.dispatcher.SetDomainsOut(now, out)
 	c.dispatcher.RestoreSuspicions(r.suspectedAt, r.suspicions)
-	for address := range r.roster {
-		c.unreachable[address], c.disconnected[address] = now, now
-	}
+	c.presence = presence.NewView(now, slices.Collect(maps.Keys(r.roster)))
 	c.updateConnectedShare(now)
 	return c
 }
@@ -190,9 +182,9 @@
 	c.announceLeaving()
 	session.lastSeen = now
 	c.sessions[session.peer.Address] = session
-	c.retriesUnread = c.retriesUnread || c.mayHaveFollowedAnother(session.peer.Address)
-	delete(c.unreachable, session.peer.Address)
-	delete(c.disconnected, session.peer.Address)
+	// It may have followed another coordinator meanwhile.
+	c.retriesUnread = true
+	c.presence.Join(session.peer.Address)
 	c.rosterDelta.join(session.peer)
 	c.fleet.replica.addPeer(session.peer)
 	state, err := c.fleet.replica.completeState()
@@ -219,29 +211,31 @@
 	return nil
 }
 
-// removeMember removes a lost member. A member whose connection was reset has
-// ended; an unresponsive (silent) one may still be running behind a partition.
-func (c *coordinator) removeMember(session *memberSession, silent bool) {
+// removeMember removes a member whose session has ended for a reason. Whatever it is, the
+// member may still run behind a partition, unless it had announced that it stops.
+func (c *coordinator) removeMember(session *memberSession, reason error) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sessions[session.peer.Address] != session {
+	address := session.peer.Address
+	if c.sessions[address] != session {
 		return
 	}
-	delete(c.sessions, session.peer.Address)
+	delete(c.sessions, address)
 	session.close()
-	c.disconnected[session.peer.Address] = now
-	if silent && !session.leaving {
-		c.unreachable[session.peer.Address] = now
-	}
 	if session.leaving {
-		c.fleet.replica.removePeer(session.peer.Address)
-		c.rosterDelta.leave(session.peer.Address)
+		c.presence.Leave(address)
+		c.fleet.replica.removePeer(address)
+		c.rosterDelta.leave(address)
+	} else {
+		c.presence.Lose(now, address)
 	}
-	c.deliver(c.dispatcher.RemoveMember(now, session.peer.Address))
+	c.deliver(c.dispatcher.RemoveMember(now, address))
 	c.updateConnectedShare(now)
 	if !c.closed {
-		log.WithFields(log.Fields{"event": "member_lost", "member": session.peer.Name, "silent": silent, "leaving": session.leaving}).Info("member lost")
+		log.WithFields(log.Fields{
+			"event": "member_lost", "member": session.peer.Name, "leaving": session.leaving, "missing": c.presence.Missing(),
+		}).WithError(reason).Info("member lost")
 	}
 }
 
@@ -335,49 +329,21 @@
 	}
 }
 
-// pruneRoster drops members that did not reattach, so that the roster does not
-// grow with every replaced instance.
-func (c *coordinator) pruneRoster(now time.Time) {
-	for address, at := range c.disconnected {
-		if now.Sub(at) <= rosterRetention {
-			continue
-		}
-		delete(c.disconnected, address)
+// forgetMissing drops instances that are not counted any more from the roster, so that it
+// does not grow with every replaced one. The caller holds mu.
+func (c *coordinator) forgetMissing(now time.Time) {
+	for _, address := range c.presence.Forget(now) {
 		c.fleet.replica.removePeer(address)
 		c.rosterDelta.leave(address)
 	}
 }
 
-// fullCapacityShare is the connected share from which limits are not reduced: they may be
-// exceeded by a tenth, and so few unreachable instances cannot do so on their own.
-const fullCapacityShare = 0.95
-
 // updateConnectedShare tells the dispatcher what share of the fleet is connected to this
 // coordinator, and what share has told what earlier coordinators admitted. Until they join,
-// members may have joined another coordinator.
+// members may have joined another coordinator. The caller holds mu.
 func (c *coordinator) updateConnectedShare(now time.Time) {
-	for address, at := range c.unreachable {
-		if now.Sub(at) > rosterRetention {
-			delete(c.unreachable, address)
-		}
-	}
-	reported := 0
-	for address := range c.sessions {
-		if c.reported[address] {
-			reported++
-		}
-	}
-	fleetSize := len(c.sessions) + len(c.unreachable)
-	c.dispatcher.SetConnectedShare(now, usableShare(len(c.sessions), fleetSize))
-	c.dispatcher.SetReportedShare(now, usableShare(reported, fleetSize))
-}
-
-func usableShare(part, whole int) float64 {
-	share := float64(part) / float64(max(1, whole))
-	if share >= fullCapacityShare {
-		return 1
-	}
-	return share
+	c.dispatcher.SetConnectedShare(now, c.presence.Share())
+	c.dispatcher.SetReportedShare(now, c.presence.ShareOf(func(address string) bool { return c.reported[address] }))
 }
 
 func (c *coordinator) runDispatchTicks(ctx context.Context) {
@@ -443,15 +409,15 @@
 			}
 			c.send(session, m)
 		}
+		c.forgetMissing(now)
 		c.updateConnectedShare(now)
-		c.pruneRoster(now)
 		if s := c.rosterDelta.flush(); s != nil {
 			c.broadcast(s)
 		}
 		c.updateStandbys(now)
 		c.mu.Unlock()
 		for _, session := range silent {
-			c.removeMember(session, true)
+			c.removeMember(session, errMemberSilent)
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,6 +128,8 @@
 	Sender     *sender.Sender
 	// Memory bounds what is held for callers, also for those of other instances; nil does not.
 	Memory *memory.Account
+	// Dial connects to other instances; nil uses TCP.
+	Dial DialFunc
 }
 
 // Fleet is this instance's side of the coordination protocol, both as a member
@@ -158,7 +160,7 @@
 
 // New returns a Fleet that is not running yet.
 func New(o Options) *Fleet {
-	f := &Fleet{opts: o, replica: newReplica(), peerConns: newConnPool()}
+	f := &Fleet{opts: o, replica: newReplica(), peerConns: newConnPool(o.Dial)}
 	f.member = newMember(f)
 	if o.Sender != nil {
 		o.Sender.Observe(f.member.noteResponse)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/errkind"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
+	"trefoilstream.example/trefoilstream/internal/presence"
 	"trefoilstream.example/trefoilstream/internal/sender"
 )
 
@@ -431,11 +432,11 @@
 			t.Fatal(err)
 		}
 	}
-	c.pruneRoster(time.Now().Add(rosterRetention / 2))
+	c.forgetMissing(time.Now().Add(presence.Retention / 2))
 	if n := len(f.replica.rosterWithout("")); n != 3 {
 		t.Fatalf("%d instances in the roster before the retention time is over", n)
 	}
-	c.pruneRoster(time.Now().Add(2 * rosterRetention))
+	c.forgetMissing(time.Now().Add(2 * presence.Retention))
 	for _, p := range f.replica.rosterWithout("") {
 		if p.Address == "gone:1" {
 			t.Error("an instance that did not return is still in the roster")
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -337,7 +337,7 @@
 func (f *Fleet) attach(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := dialPeer(ctx, address)
+	conn, err := f.peerConns.connect(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/retryrecord.go
+++ b/internal/fleet/retryrecord.go
@@ -20,15 +20,6 @@
 	retryRecordBackoff = 500 * time.Millisecond
 )
 
-// mayHaveFollowedAnother reports whether a member that joins may have followed another
-// coordinator meanwhile: one that was new to this coordinator or cut off from it. The
-// caller holds mu.
-func (c *coordinator) mayHaveFollowedAnother(address string) bool {
-	_, lost := c.disconnected[address]
-	_, cutOff := c.unreachable[address]
-	return !lost || cutOff
-}
-
 // retryKeeper decides when the coordinator reads the retry records of others and writes its
 // own. It is not safe for concurrent use.
 type retryKeeper struct {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -14,6 +14,7 @@
 var (
 	errStopping       = errors.New("this instance is stopping")
 	errNotCoordinator = errors.New("this instance is not the coordinator")
+	errMemberSilent   = errors.New("member has missed several heartbeats")
 	errSessionClosed  = errors.New("coordinator closed the session: it steps down, or the member reattached, is unresponsive or reads too slowly")
 )
 
@@ -90,7 +91,7 @@
 	received := make(chan error, 1)
 	go func() { received <- s.receive(stream, c, session) }()
 	err = s.write(stream, session, closed, received)
-	c.removeMember(session, errors.Is(err, errSessionClosed))
+	c.removeMember(session, err)
 	return err
 }
 
