fleet: the store ends an absence, not time, and an unseen minority gives way

Cause: each side forgot its missing instances after 30 s and granted the whole rate. Time says nothing of them.

A coordinator that instances are missing from now writes a record to the store every 5 s, and the members that others tell of there count as missing. With fewer than half of the instances and no record written for 20 s it grants nothing: refusals of the new kind "isolated" end their connections and readiness fails, so callers reach the other side. With more than half, missing instances are taken for ended once the store was read for 30 s without a gap and without a new record of another coordinator.

Failing before: TestSidesOfALongCutDoNotForgetEachOther (shares add up to 2.0 with absences that end by time and without the records of others), TestUnseenMinorityGrantsNothing, TestStoreSettlesAbsence. TestRosterForgetsInstancesThatDoNotReturn asked for the fault: it wanted an instance forgotten by time alone. It now wants it kept while the store tells nothing, and forgotten after SettleTime of reads, in the same place and with the same final state.

The state can last, so fleet_share tells it in the log, and the gauges coordinated_share and missing_instances in the metrics.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -159,6 +159,8 @@
 	// connectedShare is the share of the roster that this coordinator is
 	// connected to, 0 to 1.
 	connectedShare float64
+	// isolated is set if this coordinator may grant nothing of what is bounded for the fleet.
+	isolated bool
 	// reportedShare is the share of the roster of which is known what earlier
 	// coordinators admitted, 0 to 1.
 	reportedShare float64
@@ -218,6 +220,10 @@
 	d.restoreBuckets(now)
 }
 
+// SetIsolated sets whether the connected share is 0 since the rest of the fleet may have taken
+// this part of it for ended.
+func (d *Dispatcher) SetIsolated(isolated bool) { d.isolated = isolated }
+
 // SetMember adds or changes an instance that may send requests. The capacity is in
 // cores.
 func (d *Dispatcher) SetMember(name, domain string, capacity float64, leaving bool) {
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -113,6 +113,8 @@
 		return true
 	case d.settling(now):
 		d.unsettled = append(d.unsettled, *req)
+	case d.isolated:
+		d.refuse(req, errkind.Isolated, errkind.Lookup(errkind.Isolated).RetryAfter, "cut off from most of the fleet and from the store")
 	default:
 		d.refuse(req, errkind.RateLimited, wait, "team %q exceeds %g/s with burst %g, connected share %.2f", team.Name, team.Rate, team.Burst, d.connectedShare)
 	}
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -66,7 +66,7 @@
 		roster = append(roster, m.name)
 	}
 	c := &quotaCoordinator{
-		d: New(q.now, testBounds, &testPolicy, q.rng.Uint64()), reported: make(map[string]bool), view: presence.NewView(q.now, roster),
+		d: New(q.now, testBounds, &testPolicy, q.rng.Uint64()), reported: make(map[string]bool), view: presence.NewView(q.now, roster, q.now),
 	}
 	config := testConfig()
 	config.Teams = []catalog.Team{q.team}
@@ -115,8 +115,8 @@
 }
 
 func (q *quotaFleet) share(c *quotaCoordinator) {
-	c.d.SetConnectedShare(q.now, c.view.Share())
-	c.d.SetReportedShare(q.now, c.view.ShareOf(func(name string) bool { return c.reported[name] }))
+	c.d.SetConnectedShare(q.now, c.view.Share(q.now))
+	c.d.SetReportedShare(q.now, c.view.ShareOf(q.now, func(name string) bool { return c.reported[name] }))
 }
 
 func (q *quotaFleet) request(m *quotaMember, number uint64, at time.Time, again bool) {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -43,6 +43,7 @@
 	RequestTimeout         Kind = "request_timeout"
 	HeadTooLarge           Kind = "head_too_large"
 	InstanceFull           Kind = "instance_full"
+	Isolated               Kind = "isolated"
 )
 
 // Kinds in responses of the administration API.
@@ -106,6 +107,7 @@
 	RequestTimeout:         {http.StatusRequestTimeout, NotRun, 0, "The request was not received in time.", "Send the request again, faster."},
 	HeadTooLarge:           {http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "The headers exceed the limit.", "Send smaller headers."},
 	InstanceFull:           {http.StatusServiceUnavailable, NotRun, 300 * time.Millisecond, "The instance has no memory or no connection left for the request.", "Wait for the time in Retry-After; another instance may have more."},
+	Isolated:               {http.StatusServiceUnavailable, NotRun, 300 * time.Millisecond, "The instance is cut off from most of the fleet and from the store.", "Send the request again; another instance may answer it."},
 
 	Conflict:        {http.StatusConflict, NotRun, 0, "The parent revision is not the accepted one.", "Read the accepted revision and apply the change to it."},
 	InvalidDocument: {http.StatusUnprocessableEntity, NotRun, 0, "The document has errors.", "Correct the listed errors."},
--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -33,6 +33,8 @@
 	// conflictProbeInterval is the time between probes for another coordinator
 	// while members are absent.
 	conflictProbeInterval = time.Second
+	// shareLogInterval is the least time between log lines of the share.
+	shareLogInterval = time.Second
 	// memberQueueLength is the number of messages queued for a member.
 	memberQueueLength = 512
 )
@@ -61,6 +63,9 @@
 	sessions  map[string]*memberSession
 	// presence holds which instances are members and which are missing.
 	presence *presence.View
+	// loggedShare is the share that was logged last.
+	loggedShare   float64
+	shareLoggedAt time.Time
 	// reported holds the addresses of members that told what earlier coordinators
 	// admitted to them in the whole last quota window.
 	reported  map[string]bool
@@ -113,7 +118,7 @@
 func (f *Fleet) newCoordinator(cancel context.CancelFunc) *coordinator {
 	now := time.Now()
 	c := &coordinator{
-		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), reported: make(map[string]bool), startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
+		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), reported: make(map[string]bool), loggedShare: 1, shareLoggedAt: now, startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
 		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
@@ -136,7 +141,7 @@
 	}
 	c.dispatcher.SetDomainsOut(now, out)
 	c.dispatcher.RestoreSuspicions(r.suspectedAt, r.suspicions)
-	c.presence = presence.NewView(now, slices.Collect(maps.Keys(r.roster)))
+	c.presence = presence.NewView(now, slices.Collect(maps.Keys(r.roster)), f.lastStoreContact(now))
 	c.updateConnectedShare(now)
 	return c
 }
@@ -332,6 +337,7 @@
 // forgetMissing drops instances that are not counted any more from the roster, so that it
 // does not grow with every replaced one. The caller holds mu.
 func (c *coordinator) forgetMissing(now time.Time) {
+	c.presence.StoreReached(c.reader.configReadAt(), false)
 	for _, address := range c.presence.Forget(now) {
 		c.fleet.replica.removePeer(address)
 		c.rosterDelta.leave(address)
@@ -342,8 +348,51 @@
 // coordinator, and what share has told what earlier coordinators admitted. Until they join,
 // members may have joined another coordinator. The caller holds mu.
 func (c *coordinator) updateConnectedShare(now time.Time) {
-	c.dispatcher.SetConnectedShare(now, c.presence.Share())
-	c.dispatcher.SetReportedShare(now, c.presence.ShareOf(func(address string) bool { return c.reported[address] }))
+	c.dispatcher.SetConnectedShare(now, c.presence.Share(now))
+	c.dispatcher.SetIsolated(c.presence.Isolated(now))
+	c.dispatcher.SetReportedShare(now, c.presence.ShareOf(now, func(address string) bool { return c.reported[address] }))
+}
+
+// isIsolated reports whether this coordinator may grant nothing of what is bounded for the
+// whole fleet.
+func (c *coordinator) isIsolated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.presence.Isolated(time.Now())
+}
+
+// Coordination tells what part of the fleet an instance coordinates.
+type Coordination struct {
+	// Share is the share of the fleet's bounds that the instance grants, 0 to 1.
+	Share float64
+	// Missing is how many instances it counts as missing.
+	Missing int
+}
+
+// Coordination returns what this instance coordinates; zero if it is not the coordinator.
+func (f *Fleet) Coordination() Coordination {
+	f.mu.Lock()
+	c := f.coordinator
+	f.mu.Unlock()
+	if c == nil {
+		return Coordination{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Coordination{Share: c.presence.Share(time.Now()), Missing: c.presence.Missing()}
+}
+
+// logShare logs the share of the bounds that this coordinator grants when it has changed, at
+// most once every shareLogInterval. The caller holds mu.
+func (c *coordinator) logShare(now time.Time) {
+	share := c.presence.Share(now)
+	if share == c.loggedShare || now.Sub(c.shareLoggedAt) < shareLogInterval {
+		return
+	}
+	c.loggedShare, c.shareLoggedAt = share, now
+	log.WithFields(log.Fields{
+		"event": "fleet_share", "share": share, "members": len(c.sessions), "missing": c.presence.Missing(), "members_of_others": c.presence.MembersOfOthers(),
+	}).Info("share of the fleet that this coordinator counts as its own")
 }
 
 func (c *coordinator) runDispatchTicks(ctx context.Context) {
@@ -411,6 +460,7 @@
 		}
 		c.forgetMissing(now)
 		c.updateConnectedShare(now)
+		c.logShare(now)
 		if s := c.rosterDelta.flush(); s != nil {
 			c.broadcast(s)
 		}
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -289,12 +289,12 @@
 	o := f.fleet.opts
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	recorded, end, err := o.Source.Coordinator(callCtx, o.Store)
+	records, end, err := o.Source.Coordinators(callCtx, o.Store)
 	if err != nil {
 		log.WithField("event", "store_unavailable").WithError(err).Warn("could not read the coordinator record")
 		return election.Action{}, err
 	}
-	if recorded != nil && recorded.Address != o.Self.Address {
+	if recorded := records.Claimed; recorded != nil && recorded.Address != o.Self.Address {
 		query := f.queryAllBriefly
 		if recorded.isFresh(time.Now()) {
 			query = f.queryAll
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"trefoilstream.example/trefoilstream/internal/election"
 	"trefoilstream.example/trefoilstream/internal/memory"
 	"trefoilstream.example/trefoilstream/internal/peerpb"
+	"trefoilstream.example/trefoilstream/internal/presence"
 	"trefoilstream.example/trefoilstream/internal/sender"
 	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
@@ -52,8 +53,17 @@
 	Call(ctx context.Context, call StoreCall) (StoreAnswer, error)
 }
 
-// CoordinatorRecord names the instance that last claimed the role of coordinator
-// in the store, so that starting instances find it.
+// CoordinatorRecords are what coordinators have written about themselves to the store.
+type CoordinatorRecords struct {
+	// Claimed is the record of the instance that last claimed the role, or nil.
+	Claimed *CoordinatorRecord
+	// Partial are the newest records of coordinators that instances were missing from, one
+	// for each address.
+	Partial []CoordinatorRecord
+}
+
+// CoordinatorRecord names an instance that has claimed the role of coordinator in the store,
+// so that starting instances find it, or one that coordinates a part of the fleet.
 type CoordinatorRecord struct {
 	Peer
 	// ClaimedMS is when the record was written, in Unix milliseconds of the
@@ -100,14 +110,16 @@
 	Operator(ctx context.Context, call StoreCaller, from Position, wait time.Duration) ([]catalog.Change, Position, error)
 	// Servers returns changes of the directory of backend servers.
 	Servers(ctx context.Context, call StoreCaller, from Position) ([]catalog.Change, Position, error)
-	// Coordinator returns the coordinator record, or nil, and the end of its topic.
-	Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, Position, error)
-	// AwaitCoordinator waits up to wait until the record's topic no longer ends at a
+	// Coordinators returns the records of coordinators and the end of their topic.
+	Coordinators(ctx context.Context, call StoreCaller) (CoordinatorRecords, Position, error)
+	// AwaitCoordinators waits up to wait until the records' topic no longer ends at a
 	// position.
-	AwaitCoordinator(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error
+	AwaitCoordinators(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error
 	// Claim writes a coordinator record if the topic still ends at offset at,
 	// or unconditionally if at is negative. It reports whether it was written.
 	Claim(ctx context.Context, call StoreCaller, r CoordinatorRecord, at int64) (bool, error)
+	// RecordPartial writes the record of a coordinator that instances are missing from.
+	RecordPartial(ctx context.Context, call StoreCaller, r CoordinatorRecord) error
 	// Retries returns the retry records of all coordinators.
 	Retries(ctx context.Context, call StoreCaller) ([]RetryRecord, error)
 	// RecordRetries replaces the retry record of a coordinator.
@@ -155,7 +167,10 @@
 	// configReadAt is when the followed coordinator last read the operators' topic, as
 	// far as this instance knows; zero if it does not.
 	configReadAt time.Time
-	leaving      bool
+	// storeContactAt is when any coordinator is known to have last read the store; zero if
+	// none is.
+	storeContactAt time.Time
+	leaving        bool
 }
 
 // New returns a Fleet that is not running yet.
@@ -186,11 +201,19 @@
 func (f *Fleet) Index() *catalog.Index { return f.replica.index.Load() }
 
 // Ready reports whether requests can be served: a configuration is known, a
-// coordinator is followed and the instance is not stopping.
+// coordinator is followed that is not isolated, and the instance is not stopping.
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.followedCoordinator != "" && !f.leaving && f.Index() != nil
+	c, ready := f.coordinator, f.followedCoordinator != "" && !f.leaving && f.Index() != nil
+	members, contact := f.memberCount, f.storeContactAt
+	f.mu.Unlock()
+	switch {
+	case !ready:
+		return false
+	case c != nil:
+		return !c.isIsolated()
+	}
+	return !presence.Unseen(time.Now(), members, len(f.replica.rosterWithout("")), contact)
 }
 
 // Leave announces that this instance is stopping. A coordinator steps down.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,8 +22,10 @@
 // fakeStore is an in-memory store with one coordinator record, a configuration
 // and backend servers.
 type fakeStore struct {
-	mu               sync.Mutex
-	coordinator      *CoordinatorRecord
+	mu          sync.Mutex
+	coordinator *CoordinatorRecord
+	// partial holds the records of coordinators of a part of the fleet, by address.
+	partial          map[string]CoordinatorRecord
 	endOffset        int64
 	config           *catalog.Config
 	version          int64
@@ -107,16 +111,30 @@
 	return []catalog.Change{{Servers: &servers, Outdated: from.Era != 0 && s.era > from.Era}}, Position{Era: s.era}, nil
 }
 
-func (s *fakeStore) Coordinator(ctx context.Context, call StoreCaller) (*CoordinatorRecord, Position, error) {
+func (s *fakeStore) Coordinators(ctx context.Context, call StoreCaller) (CoordinatorRecords, Position, error) {
 	if _, err := call.Call(ctx, StoreCall{}); err != nil {
-		return nil, Everything, err
+		return CoordinatorRecords{}, Everything, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.coordinator, Position{Era: s.era, Offset: s.endOffset}, nil
+	return CoordinatorRecords{Claimed: s.coordinator, Partial: slices.Collect(maps.Values(s.partial))}, Position{Era: s.era, Offset: s.endOffset}, nil
 }
 
-func (s *fakeStore) AwaitCoordinator(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error {
+func (s *fakeStore) RecordPartial(ctx context.Context, call StoreCaller, r CoordinatorRecord) error {
+	if _, err := call.Call(ctx, StoreCall{}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.partial == nil {
+		s.partial = make(map[string]CoordinatorRecord)
+	}
+	s.partial[r.Address] = r
+	s.endOffset++
+	return nil
+}
+
+func (s *fakeStore) AwaitCoordinators(ctx context.Context, call StoreCaller, end Position, wait time.Duration) error {
 	if _, err := call.Call(ctx, StoreCall{Wait: wait}); err != nil {
 		return err
 	}
@@ -432,11 +450,18 @@
 			t.Fatal(err)
 		}
 	}
-	c.forgetMissing(time.Now().Add(presence.Retention / 2))
+	start := time.Now()
+	c.forgetMissing(start.Add(10 * presence.SettleTime))
 	if n := len(f.replica.rosterWithout("")); n != 3 {
-		t.Fatalf("%d instances in the roster before the retention time is over", n)
+		t.Fatalf("%d instances in the roster although the store told nothing", n)
+	}
+	for d := time.Duration(0); d <= 2*presence.SettleTime; d += presence.RecordInterval {
+		c.presence.StoreRead(start.Add(d), nil)
+		c.forgetMissing(start.Add(d))
+		if n := len(f.replica.rosterWithout("")); n != 3 && d < presence.SettleTime {
+			t.Fatalf("%d instances in the roster after the store was read for %v", n, d)
+		}
 	}
-	c.forgetMissing(time.Now().Add(2 * presence.Retention))
 	for _, p := range f.replica.rosterWithout("") {
 		if p.Address == "gone:1" {
 			t.Error("an instance that did not return is still in the roster")
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -52,6 +52,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configReadAt = now.Add(time.Millisecond - time.Duration(m.ConfigAgeMs)*time.Millisecond)
+	if f.configReadAt.After(f.storeContactAt) {
+		f.storeContactAt = f.configReadAt
+	}
+}
+
+// lastStoreContact returns when any coordinator is known to have last read the store, or now
+// if none is known.
+func (f *Fleet) lastStoreContact(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeContactAt.IsZero() {
+		return now
+	}
+	return f.storeContactAt
 }
 
 func configAgeToProto(now, readAt time.Time) uint32 {
--- a/internal/fleet/record_test.go
+++ b/internal/fleet/record_test.go
@@ -68,7 +68,7 @@
 		fleet.store.mu.Lock()
 		fleet.store.coordinator = &CoordinatorRecord{Peer: Peer{Address: deadAddress}, Members: test.members}
 		fleet.store.mu.Unlock()
-		if _, err := c.checkRecord(context.Background(), test.first); err != nil {
+		if _, _, err := c.checkRecord(context.Background(), test.first); err != nil {
 			t.Fatal(err)
 		}
 		fleet.store.mu.Lock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/errkind"
 	"trefoilstream.example/trefoilstream/internal/memory"
 )
 
@@ -68,6 +69,19 @@
 	return resp, string(body)
 }
 
+// Guards against a caller that keeps its connection to an instance which is cut off from the
+// fleet and refuses all its requests.
+func TestIsolatedRefusalEndsTheConnection(t *testing.T) {
+	for kind, closes := range map[errkind.Kind]bool{errkind.Isolated: true, errkind.RateLimited: false} {
+		_, l := listen(t, &handler{serve: func(_ context.Context, _ *Request, w *Response) { w.Refuse(errkind.Errorf(kind, "refused")) }})
+		c, r := dial(t, l)
+		_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if resp, _ := readResponse(t, r); resp.Close != closes {
+			t.Errorf("refusal as %s: closes the connection %v, want %v", kind, resp.Close, closes)
+		}
+	}
+}
+
 // Guards against reading a pipelined request only after the response to the
 // earlier one, and against responses out of order.
 func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -117,10 +117,13 @@
 	conn *conn
 	req  *Request
 	// last closes the connection after this response.
-	last   bool
-	status int
-	header http.Header
-	body   []byte
+	last bool
+	// isolated is set for a refusal after which the caller had better connect to another
+	// instance.
+	isolated bool
+	status   int
+	header   http.Header
+	body     []byte
 	// stream carries the parts of a streamed body.
 	stream chan []byte
 	// length is that of a streamed body, or -1 if unknown.
@@ -242,6 +245,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	body := fmt.Appendf(nil, `{"kind":%q,"outcome":%q,"title":%q,"status":%d}`, e.Kind, e.EffectiveOutcome(), d.Meaning, status)
+	w.isolated = e.Kind == errkind.Isolated
 	w.Respond(status, h, body)
 }
 
@@ -275,7 +279,7 @@
 		w.broken = true
 		return false
 	}
-	if w.conn.server.draining.Load() && w.conn.finishIfLast() {
+	if (w.isolated || w.conn.server.draining.Load()) && w.conn.finishIfLast() {
 		w.last = true
 	}
 	w.writeHead(out, int64(len(w.body)))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -93,6 +93,7 @@
 	go server.Serve(callers)
 	go serveChecks(checks, a.ReadinessPath, f.Ready, recorder.Handler())
 	go requests.run(ctx)
+	go reportCoordination(ctx, recorder.Scope(), f.Coordination)
 	log.WithFields(log.Fields{"event": "instance_started", "instance": s.InstanceID, "domain": s.FailureDomain, "listen": s.ListenAddress}).Info("instance started")
 	<-term
 	stop(f, server, handler, callers, a.Grace)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,15 +1,18 @@
 package instance
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/fleet"
 	"trefoilstream.example/trefoilstream/internal/forward"
 	"trefoilstream.example/trefoilstream/internal/metrics"
 )
@@ -74,3 +77,23 @@
 		t.Errorf("%d lines wait, want %d of the crowd and that of r1", n, linesPerSecond-lateReserve)
 	}
 }
+
+// Guards against a share of the fleet that stays reduced without operators seeing it.
+func TestCoordinationIsInTheMetrics(t *testing.T) {
+	m := metrics.New()
+	defer m.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reportCoordination(ctx, m.Scope(), func() fleet.Coordination { return fleet.Coordination{Share: 0.6, Missing: 16} })
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, metricsPath, nil))
+		text := w.Body.String()
+		if strings.Contains(text, "coordinated_share 0.6") && strings.Contains(text, "missing_instances 16") {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("metrics %s", text)
+		}
+	}
+}
