--- a/internal/fleet/cut_test.go
+++ b/internal/fleet/cut_test.go
@@ -13,49 +13,149 @@
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 )
 
+// manner is how a network fails.
+type manner int
+
+const (
+	// resets ends connections and refuses new ones.
+	resets manner = iota
+	// silent passes nothing on, in either direction.
+	silent
+	// oneWay passes nothing on from those that are cut off.
+	oneWay
+)
+
+func (m manner) String() string { return [...]string{"resets", "silent", "one way"}[m] }
+
 // testNetwork connects the instances of a fleet, and cuts some off from the others.
 type testNetwork struct {
 	mu    sync.Mutex
-	conns map[net.Conn][2]string
+	conns map[*testConn]struct{}
 	// cutOff holds the addresses of those that reach only each other.
-	cutOff map[string]bool
+	cutOff  map[string]bool
+	manner  manner
+	changed chan struct{}
 }
 
 func newTestNetwork() *testNetwork {
-	return &testNetwork{conns: make(map[net.Conn][2]string), cutOff: make(map[string]bool)}
+	return &testNetwork{conns: make(map[*testConn]struct{}), cutOff: make(map[string]bool), changed: make(chan struct{})}
+}
+
+// testConn is the dialing end of a connection.
+type testConn struct {
+	*net.TCPConn
+	network  *testNetwork
+	from, to string
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// await waits until the network passes on what one instance sends to another.
+func (c *testConn) await(from, to string) {
+	for {
+		c.network.mu.Lock()
+		blocked, changed := c.network.blocks(from, to), c.network.changed
+		c.network.mu.Unlock()
+		if !blocked {
+			return
+		}
+		select {
+		case <-changed:
+		case <-c.closed:
+			return
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *testConn) Write(p []byte) (int, error) {
+	c.await(c.from, c.to)
+	return c.TCPConn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *testConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.await(c.to, c.from)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *testConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// blocks reports whether the network holds back what one instance sends to another. The caller
+// holds mu.
+func (n *testNetwork) blocks(from, to string) bool {
+	switch n.manner {
+	case silent:
+		return n.cutOff[from] != n.cutOff[to]
+	case oneWay:
+		return n.cutOff[from] && !n.cutOff[to]
+	}
+	return false
 }
 
-// dialer returns the dialer of an instance. A connection across a cut is refused.
+// dialer returns the dialer of an instance.
 func (n *testNetwork) dialer(from string) DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
-		cut := n.cutOff[from] != n.cutOff[address]
+		refused := n.manner == resets && n.cutOff[from] != n.cutOff[address]
+		// Neither its first packet nor the answer to it may be held back.
+		lost := n.blocks(from, address) || n.blocks(address, from)
 		n.mu.Unlock()
-		if cut {
+		if refused {
 			return nil, syscall.ECONNREFUSED
 		}
-		c, err := (&net.Dialer{Timeout: peerDialTimeout}).DialContext(ctx, "tcp", address)
-		if err == nil {
-			n.mu.Lock()
-			n.conns[c] = [2]string{from, address}
-			n.mu.Unlock()
+		if lost {
+			sleep(ctx, peerDialTimeout)
+			return nil, syscall.ETIMEDOUT
 		}
-		return c, err
+		raw, err := (&net.Dialer{Timeout: peerDialTimeout}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		c := &testConn{TCPConn: raw.(*net.TCPConn), network: n, from: from, to: address, closed: make(chan struct{})}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns[c] = struct{}{}
+		return c, nil
 	}
 }
 
-// cut resets the connections between the addresses and all others, and refuses new ones.
-func (n *testNetwork) cut(addresses ...string) {
+// cut cuts addresses off from all others.
+func (n *testNetwork) cut(m manner, addresses ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.manner = m
+	clear(n.cutOff)
 	for _, a := range addresses {
 		n.cutOff[a] = true
 	}
-	for c, ends := range n.conns {
-		if n.cutOff[ends[0]] != n.cutOff[ends[1]] {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-			delete(n.conns, c)
+	n.wake()
+	if m != resets {
+		return
+	}
+	for c := range n.conns {
+		if n.cutOff[c.from] != n.cutOff[c.to] {
+			_ = c.SetLinger(0)
+			_ = c.TCPConn.Close()
+		}
+	}
+}
+
+// drop ends the connections of an instance, as the end of its process does.
+func (n *testNetwork) drop(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.from == address || c.to == address {
+			_ = c.TCPConn.Close()
 		}
 	}
 }
@@ -64,6 +164,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cutOff)
+	n.wake()
+}
+
+func (n *testNetwork) wake() {
+	close(n.changed)
+	n.changed = make(chan struct{})
 }
 
 // newNetworkFleet returns a fleet of instances on a network, which starts with a team that
@@ -149,7 +255,7 @@
 			cut = append(cut, f.opts.Self.Address)
 		}
 	}
-	network.cut(cut...)
+	network.cut(resets, cut...)
 	time.Sleep(5500 * time.Millisecond)
 	if n := len(fleet.coordinators(-1)); n != 2 {
 		t.Errorf("%d coordinators during the cut, want one on each side", n)
