--- a/internal/fleet/cutsoak_test.go
+++ b/internal/fleet/cutsoak_test.go
@@ -23,6 +23,8 @@
 	rng     *rand.Rand
 	start   time.Time
 	granted permitLog
+	// addresses are those of the instances.
+	addresses []string
 
 	mu      sync.Mutex
 	history []string
@@ -106,7 +108,7 @@
 func (s *cutSoak) options(o *Options) {
 	o.Bounds.QuotaOvershoot, o.Bounds.QuotaSlack = 0.1, 20
 	o.Dial = s.network.dialer(o.Self.Address)
-	o.Seeds = []string{s.instances[0].opts.Self.Address, s.instances[1].opts.Self.Address}
+	o.Seeds = s.addresses[:2]
 }
 
 // play plays events for a time. In any quota window there is at most one cut that is noticed
@@ -129,7 +131,7 @@
 			}
 			var addresses []string
 			for _, i := range s.rng.Perm(n)[:1+s.rng.IntN(n-1)] {
-				addresses = append(addresses, s.instances[i].opts.Self.Address)
+				addresses = append(addresses, s.addresses[i])
 			}
 			s.event("%d instances are cut off: %s", len(addresses), m)
 			s.network.cut(m, addresses...)
@@ -189,6 +191,9 @@
 			fleet, network := newNetworkFleet(t, 4+rng.IntN(9), team)
 			s := &cutSoak{testFleet: fleet, network: network, rng: rng, start: time.Now()}
 			s.running, s.busy = append(s.running, fleet.instances...), make([]bool, len(fleet.instances))
+			for _, f := range fleet.instances {
+				s.addresses = append(s.addresses, f.opts.Self.Address)
+			}
 			ctx, cancel := context.WithCancel(context.Background())
 			var clients sync.WaitGroup
 			for i := range s.running {
