delivery: connections to instances and backend servers outlive a peer that reads late

Cause: TCP_USER_TIMEOUT of 1.5 s on these connections, which also counts the time for which a live peer's window is closed.

delivery.Watch replaces it: while bytes are unacknowledged it looks at what the kernel knows, and ends the connection only if nothing, not even a probe of a closed window, was acknowledged for 1.5 s.

That Watch ends a connection whose path is lost has a test of the decision only, as loopback loses no packets.

TestResetDuringUploadTruncatesTheResponse unwraps the connection that it replaces; its checks are unchanged. Instances of the fleet's tests listen as in the product.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"trefoilstream.example/trefoilstream/internal/delivery"
 	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
 
@@ -196,7 +197,7 @@
 	if err := c.reserve(address); err != nil {
 		return nil, err
 	}
-	dialer := sockopt.Dialer(c.dialTimeout())
+	dialer := sockopt.WatchedDialer(c.dialTimeout())
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		c.release(address)
@@ -205,7 +206,7 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
-	cn := &conn{Conn: raw, address: address, client: c}
+	cn := &conn{Conn: delivery.Watch(raw), address: address, client: c}
 	cn.reader = bufio.NewReader(io.Reader(headerLimitReader{cn}))
 	return cn, nil
 }
--- a/internal/backend/early_test.go
+++ b/internal/backend/early_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"trefoilstream.example/trefoilstream/internal/delivery"
 )
 
 // uploadBytes is more than the buffers of a loopback connection hold while the server does
@@ -61,6 +65,27 @@
 	return string(body), err
 }
 
+// Guards against an upload that is broken off at a server which works for some seconds before it
+// reads the rest.
+func TestServerMayReadLate(t *testing.T) {
+	s := listen(t, func(_ *rawServer, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		time.Sleep(4 * time.Second)
+		n, _ := io.Copy(io.Discard, req.Body)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n%8d", n)
+	})
+	resp, err := New().Do(t.Context(), upload(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := readBody(resp); err != nil || strings.TrimSpace(body) != strconv.Itoa(uploadBytes) {
+		t.Errorf("the server got %q bytes of %d, %v", body, uploadBytes, err)
+	}
+}
+
 // Guards against taking a part of a response for a complete one when the connection is reset
 // while the request is being written. The system reports a reset once, to the writer or to the
 // reader; if it was the writer, the reader sees an end as of an orderly close.
@@ -116,7 +141,7 @@
 			t.Fatal(err)
 		}
 		failed := make(chan struct{})
-		cn.Conn = &lateWriter{TCPConn: cn.Conn.(*net.TCPConn), failed: failed}
+		cn.Conn = &lateWriter{TCPConn: cn.Conn.(*delivery.Watched).TCPConn, failed: failed}
 		cn.maxIdle = time.Minute
 		c.put(cn)
 		r := upload(s)
--- a/internal/fleet/conn.go
+++ b/internal/fleet/conn.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 
+	"trefoilstream.example/trefoilstream/internal/delivery"
 	"trefoilstream.example/trefoilstream/internal/sockopt"
 )
 
@@ -36,7 +37,11 @@
 func newConnPool(dial DialFunc) *connPool {
 	if dial == nil {
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return sockopt.Dialer(peerDialTimeout).DialContext(ctx, "tcp", address)
+			c, err := sockopt.WatchedDialer(peerDialTimeout).DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return delivery.Watch(c), nil
 		}
 	}
 	opts := drpcpool.Options{Expiration: idlePeerConnTimeout, KeyCapacity: maxIdleConnsPerPeer}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"trefoilstream.example/trefoilstream/internal/catalog"
+	"trefoilstream.example/trefoilstream/internal/delivery"
 	"trefoilstream.example/trefoilstream/internal/dispatch"
 	"trefoilstream.example/trefoilstream/internal/election"
 	"trefoilstream.example/trefoilstream/internal/memory"
@@ -194,7 +195,11 @@
 
 // Listen opens the listener for RPCs from other instances.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	return sockopt.ListenConfig().Listen(ctx, "tcp", address)
+	l, err := sockopt.WatchedListenConfig().Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return delivery.Listener{Listener: l}, nil
 }
 
 // Index returns the configuration in force, or nil if none is known.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -237,7 +237,7 @@
 
 func (fleet *testFleet) listen() net.Listener {
 	fleet.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen(context.Background(), "127.0.0.1:0")
 	if err != nil {
 		fleet.t.Fatal(err)
 	}
--- a/internal/fleet/send_test.go
+++ b/internal/fleet/send_test.go
@@ -101,6 +101,46 @@
 	eventually(t, "the request has ended", func() bool { return relay.RelayedRequests() == 0 })
 }
 
+// pausingReply counts the bytes of a reply and takes nothing for a time after the first ones.
+type pausingReply struct {
+	pause time.Duration
+	bytes int
+}
+
+// Head implements sender.Reply.
+func (*pausingReply) Head(int, http.Header, int64) error { return nil }
+
+// Body implements sender.Reply.
+func (r *pausingReply) Body(p []byte) error {
+	if r.bytes == 0 {
+		time.Sleep(r.pause)
+	}
+	r.bytes += len(p)
+	return nil
+}
+
+// Guards against a response that breaks off on its way through another instance since its caller
+// reads nothing for some seconds: the instance next to the server took this one for gone.
+func TestReplyOutlastsAPauseOfItsCaller(t *testing.T) {
+	const size = 24 << 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = w.Write(make([]byte, size))
+	}))
+	defer server.Close()
+	fleet := newTestFleet(t, 1)
+	fleet.addWith(1, func(o *Options) { o.Sender = sender.New(plainDialect{}) })
+	eventually(t, "one coordinator and all ready", func() bool { return fleet.ready(-1) })
+	entry, relay := fleet.instances[0], fleet.instances[1]
+	reply := &pausingReply{pause: 4 * time.Second}
+	_, err := entry.sendVia(t.Context(), relay.opts.Self.Address, &sender.Job{
+		Server: "s", Address: server.Listener.Addr().String(), Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(20 * time.Second),
+	}, reply)
+	if err != nil || reply.bytes != size {
+		t.Errorf("%d bytes of %d, %v", reply.bytes, size, err)
+	}
+}
+
 // Guards against an instance that cannot end since another one stands still: it waits for it until
 // the deadline of the request.
 func TestReplyIsGivenUpAtItsDeadline(t *testing.T) {
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -32,21 +32,32 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: setUserTimeout}
 }
 
-// ListenConfig returns a listen configuration whose accepted connections have
-// the options set.
-func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: KeepAlive, Control: setUserTimeout}
+// watchedKeepAlive detects a dead peer of an idle connection after one unanswered probe, as
+// TCP_USER_TIMEOUT does.
+var watchedKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 1}
+
+// WatchedDialer returns a dialer for connections whose peer may read late: they have no limit on
+// unacknowledged data, which would also end those. Wrap them with delivery.Watch, which tells a
+// peer that reads late from one that is gone.
+func WatchedDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: watchedKeepAlive}
+}
+
+// WatchedListenConfig returns a listen configuration for such connections. Accept them with
+// delivery.Listener.
+func WatchedListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: watchedKeepAlive}
 }
 
 // callerBufferBytes bounds what the kernel receives from a caller before it is read. It counts
 // toward the machine's memory and not toward that of the process.
 const callerBufferBytes = 64 << 10
 
-// CallerListenConfig is ListenConfig with a bounded receive buffer and without a limit on
-// unacknowledged data, which would also end the connection of a caller that reads later: see
-// package delivery.
+// CallerListenConfig returns a listen configuration for connections of callers. They have a
+// bounded receive buffer, and no limit on unacknowledged data, which would also end the
+// connection of a caller that reads later: see package delivery.
 func CallerListenConfig() *net.ListenConfig {
-	c := ListenConfig()
+	c := &net.ListenConfig{KeepAliveConfig: KeepAlive}
 	c.Control = func(_, _ string, raw syscall.RawConn) error {
 		var sockErr error
 		err := raw.Control(func(fd uintptr) {
