fleet: a former coordinator knows when the store was last reached

Found by reading the change: only members kept the time of the last contact with the store. An instance that had coordinated for long, stepped down and took over again in a part of the fleet would have started from an old time, and refused teams with a rate as isolated although it had just read the store. A member that knew no time at all took itself for unseen, and was not ready.

fleet.TestFormerCoordinatorKnowsTheLastContact fails with the note taken out (no contact known).

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -108,6 +108,7 @@
 	f.mu.Lock()
 	f.coordinator = nil
 	f.followedCoordinator = ""
+	f.noteStoreContact(c.reader.configReadAt())
 	f.mu.Unlock()
 	c.stop()
 	detach()
@@ -118,7 +119,8 @@
 func (f *Fleet) newCoordinator(cancel context.CancelFunc) *coordinator {
 	now := time.Now()
 	c := &coordinator{
-		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), reported: make(map[string]bool), loggedShare: 1, shareLoggedAt: now, startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
+		fleet: f, cancel: cancel, accepting: make(chan struct{}), sessions: make(map[string]*memberSession), reported: make(map[string]bool),
+		loggedShare: 1, shareLoggedAt: now, startedAt: now, recordsLost: make(chan struct{}, 1), superseded: make(map[string]catalog.Server),
 		settledEras: make(map[storeTopic]uint64), rosterDelta: newRosterDelta(f.replica.rosterWithout("")),
 		dispatcher: dispatch.New(now, f.opts.Bounds, &f.opts.Policy, rand.Uint64()),
 	}
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -234,6 +234,7 @@
 	}
 	blocked := f.blockedCoordinators()
 	replies := f.queryAllBriefly(ctx, addresses)
+	// An instance may follow a coordinator that this one has just failed to attach to.
 	coordinated := false
 	for _, r := range replies {
 		if !r.Reached || r.Coordinator == "" || r.Coordinator == self {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -210,7 +210,7 @@
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
 	c, ready := f.coordinator, f.followedCoordinator != "" && !f.leaving && f.Index() != nil
-	members, contact := f.memberCount, f.storeContactAt
+	members := f.memberCount
 	f.mu.Unlock()
 	switch {
 	case !ready:
@@ -218,7 +218,8 @@
 	case c != nil:
 		return !c.isIsolated()
 	}
-	return !presence.Unseen(time.Now(), members, len(f.replica.rosterWithout("")), contact)
+	now := time.Now()
+	return !presence.Unseen(now, members, len(f.replica.rosterWithout("")), f.lastStoreContact(now))
 }
 
 // Leave announces that this instance is stopping. A coordinator steps down.
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -52,8 +52,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configReadAt = now.Add(time.Millisecond - time.Duration(m.ConfigAgeMs)*time.Millisecond)
-	if f.configReadAt.After(f.storeContactAt) {
-		f.storeContactAt = f.configReadAt
+	f.noteStoreContact(f.configReadAt)
+}
+
+// noteStoreContact notes when a coordinator read the store. The caller holds mu.
+func (f *Fleet) noteStoreContact(at time.Time) {
+	if at.After(f.storeContactAt) {
+		f.storeContactAt = at
 	}
 }
 
--- a/internal/fleet/freshness_test.go
+++ b/internal/fleet/freshness_test.go
@@ -47,3 +47,25 @@
 		t.Errorf("limit %v in a small fleet, but a change must be in force within 2 s", limit)
 	}
 }
+
+// Guards against a coordinator that steps down and forgets when the store was last reached: in
+// a minority it would take itself for unseen, or for seen.
+func TestFormerCoordinatorKnowsTheLastContact(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	eventually(t, "a coordinator", func() bool { return fleet.ready(-1) })
+	f := fleet.instances[0]
+	f.mu.Lock()
+	c := f.coordinator
+	f.mu.Unlock()
+	eventually(t, "the store is read", func() bool { return !c.reader.configReadAt().IsZero() })
+	readAt := c.reader.configReadAt()
+	c.resign("test")
+	eventually(t, "the role has ended", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.coordinator != c
+	})
+	if got := f.lastStoreContact(time.Time{}); got.Before(readAt) {
+		t.Errorf("last contact at %v, want at least %v", got, readAt)
+	}
+}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -18,8 +18,8 @@
 	recordDelay = time.Second
 	// lostClaimDelay is the time to the next attempt after another instance has written first.
 	lostClaimDelay = 100 * time.Millisecond
-	// recordWait is how long the store holds a call that waits for another record, at most
-	// as long as the next record of this coordinator is due.
+	// recordWait is how long the store holds a call that waits for another record. A
+	// coordinator that instances are missing from waits for presence.RecordInterval.
 	recordWait = 10 * time.Second
 	// recordedSuccessors is how many successors a record names.
 	recordedSuccessors = 6
